--- /dev/null
+++ b/src/broker/book.cpp
@@ -0,0 +1,51 @@
+#include "broker/book.hpp"
+
+namespace dillmoor::broker {
+
+TenantCounters* Book::tenant(const OpenRequest& open) {
+  const auto at = static_cast<std::size_t>(open.request.tenant);
+  return at < counters_.tenants.size() ? &counters_.tenants[at] : nullptr;
+}
+
+void Book::finish(RequestNo no, FinalAnswer answer) {
+  auto* open = open_.find(no);
+  if (!open) return;
+  Front* front = open->front;
+  open_.remove(no);  // first: what the front does next may bring a new request
+  front->finish(no, std::move(answer));
+}
+
+void Book::answer(RequestNo no, bool whole) {
+  auto* open = open_.find(no);
+  if (!open) return;
+  FinalAnswer answer{Verdict::answered, whole, false, 0, {}};
+  for (auto& part : open->parts)
+    if (part.delivered) answer.results.push_back({part.shard, std::move(part.value)});
+  ++counters_.answered;
+  if (!whole) ++counters_.answeredPartial;
+  if (auto* t = tenant(*open)) ++t->answered;
+  finish(no, std::move(answer));
+}
+
+void Book::refuse(RequestNo no, Nanos retryAfter) {
+  auto* open = open_.find(no);
+  if (!open) return;
+  ++counters_.refused;
+  if (auto* t = tenant(*open)) ++t->refused;
+  finish(no, FinalAnswer{Verdict::refused, false, false, retryAfter, {}});
+}
+
+void Book::fail(RequestNo no, bool timedOut) {
+  auto* open = open_.find(no);
+  if (!open) return;
+  ++counters_.failed;
+  if (auto* t = tenant(*open)) ++t->failed;
+  finish(no, FinalAnswer{Verdict::failed, false, timedOut, 0, {}});
+}
+
+void Book::abandoned(RequestNo no) {
+  ++counters_.abandoned;
+  open_.remove(no);
+}
+
+}  // namespace dillmoor::broker
--- /dev/null
+++ b/src/broker/broker.cpp
@@ -0,0 +1,134 @@
+#include "broker/broker.hpp"
+
+namespace dillmoor::broker {
+
+Broker::Broker(Terms terms, Clock& clock, Backend& backend, Log& log)
+    : terms_(std::move(terms)),
+      clock_(clock),
+      log_(log),
+      takeIn_(terms_, open_),
+      admit_(terms_, open_),
+      route_(terms_.settings),
+      send_(terms_, open_, backend, counters_),
+      relay_(open_, counters_),
+      book_(open_, counters_) {
+  for (const auto& c : terms_.contracts) counters_.tenants.push_back({.name = c.tenant});
+}
+
+std::variant<RequestNo, Invalid> Broker::take(Request request, Front& front) {
+  if (auto why = takeIn_.fault(request)) {
+    ++counters_.invalid;
+    return Invalid{std::move(*why)};
+  }
+  return takeIn_.take(std::move(request), front, clock_.now());
+}
+
+void Broker::begin(RequestNo no) {
+  auto* open = open_.find(no);
+  if (!open) return;
+  const Nanos now = clock_.now();
+  const auto& request = open->request;
+  const bool beyond = admit_.beyondQuota(request, now);
+  ++counters_.taken;
+  if (!counters_.tenants.empty()) {
+    auto& tenant = counters_.tenants[static_cast<std::size_t>(request.tenant)];
+    ++tenant.taken;
+    if (beyond) ++tenant.overQuota;
+  }
+  if (const auto comeBack = admit_.refusal()) {
+    ++counters_.turnedAway;
+    return book_.refuse(no, *comeBack);
+  }
+  clock_.wakeAt(open->due);
+  route_.addRequest(no, *open);
+  run();
+}
+
+void Broker::abandon(RequestNo no) {
+  auto* open = open_.find(no);
+  if (!open) return;
+  send_.cancelAll(no, *open);
+  book_.abandoned(no);
+  route_.add(QueryExpired{Route::queryId(no)});
+  run();
+}
+
+void Broker::attemptEnded(const AttemptId& id, Outcome outcome, std::string value) {
+  auto event = relay_.ended(id, outcome, std::move(value), clock_.now());
+  if (!event) return;
+  route_.add(std::move(*event));
+  run();
+}
+
+void Broker::told(ListNews news) {
+  route_.add(std::move(news));
+  run();
+}
+
+void Broker::wake() {
+  const Nanos now = clock_.now();
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    route_.add(TimerFired{timers_.begin()->second});
+    timers_.erase(timers_.begin());
+  }
+  run();
+  expire(now);
+}
+
+// The module ends each query before the client's time is up. Guards the rule on final answers should it not:
+// whatever is still open then has failed, and its attempts have timed out.
+void Broker::expire(Nanos now) {
+  std::vector<RequestNo> over;
+  for (const auto& [no, open] : open_.all())
+    if (now >= open.due) over.push_back(no);
+  for (const RequestNo no : over) {
+    log_.line("request.overdue", "request=" + std::to_string(no));
+    send_.cancelAll(no, *open_.find(no));
+    book_.fail(no, true);
+    route_.add(QueryExpired{Route::queryId(no)});
+  }
+  run();
+}
+
+void Broker::run() {
+  route_.run(clock_.now(), [this](const Action& action) { carryOut(action); });
+}
+
+// The request is about to get its final answer: what is still out for it is called off first, while the
+// backend's attempts can still be named.
+RequestNo Broker::end(const std::string& query) {
+  const auto no = Route::parse(query).request;
+  if (auto* open = open_.find(no)) send_.cancelAll(no, *open);
+  return no;
+}
+
+void Broker::carryOut(const Action& action) {
+  if (const auto* send = std::get_if<Send>(&action)) {
+    const auto part = Route::parse(send->part);
+    if (const auto notSent = send_.send(part, *send, clock_.now())) {
+      log_.line("attempt.not_sent", "request=" + std::to_string(part.request));
+      attemptEnded(*notSent, Outcome::notSent);
+    }
+  } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
+    auto id = Route::parse(cancel->part);
+    id.attempt = cancel->attempt;
+    send_.cancel(id);
+  } else if (const auto* answer = std::get_if<Answer>(&action)) {
+    const auto no = end(answer->query);
+    book_.answer(no, answer->whole);
+  } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+    const auto no = end(refuse->query);
+    book_.refuse(no, refuse->retryAfter);
+  } else if (const auto* fail = std::get_if<Fail>(&action)) {
+    const auto no = end(fail->query);
+    book_.fail(no, false);
+  } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+    const Nanos at = clock_.now() + timer->wait;
+    timers_.emplace(at, timer->token);
+    clock_.wakeAt(at);
+  } else if (const auto* text = std::get_if<dillmoor::Log>(&action)) {
+    log_.line("module", text->text);
+  }
+}
+
+}  // namespace dillmoor::broker
--- /dev/null
+++ b/src/broker/broker.hpp
@@ -0,0 +1,64 @@
+// The core: requests pass take_in, admit, route, send, relay and book. It owns the open requests, their
+// deadlines, the contracts, the budgets of attempts and the counters, and knows no wire.
+#pragma once
+
+#include <optional>
+#include <variant>
+
+#include "broker/admit.hpp"
+#include "broker/book.hpp"
+#include "broker/contract.hpp"
+#include "broker/counters.hpp"
+#include "broker/log.hpp"
+#include "broker/ports.hpp"
+#include "broker/relay.hpp"
+#include "broker/route.hpp"
+#include "broker/send.hpp"
+#include "broker/take_in.hpp"
+
+namespace dillmoor::broker {
+
+struct Invalid {
+  std::string why;
+};
+
+class Broker {
+ public:
+  Broker(Terms terms, Clock& clock, Backend& backend, Log& log);
+
+  // Checks the request. A valid one is taken: its one final answer comes through the front, after this call
+  // has returned (`begin` starts it), so that the front can note the number first.
+  std::variant<RequestNo, Invalid> take(Request request, Front& front);
+  void begin(RequestNo no);
+  void abandon(RequestNo no);  // the client has left
+  void attemptEnded(const AttemptId& id, Outcome outcome, std::string value = {});
+  void told(ListNews news);
+  void wake();
+
+  const Counters& counters() const { return counters_; }
+  const Terms& terms() const { return terms_; }
+  std::size_t open() const { return open_.count(); }
+  std::size_t held() const { return open_.held(); }
+  std::size_t rate(std::size_t tenant) const { return admit_.rate(tenant, clock_.now()); }
+
+ private:
+  void run();
+  void carryOut(const Action& action);
+  RequestNo end(const std::string& query);
+  void expire(Nanos now);
+
+  Terms terms_;
+  Clock& clock_;
+  Log& log_;
+  Counters counters_;
+  OpenRequests open_;
+  TakeIn takeIn_;
+  Admit admit_;
+  Route route_;
+  SendOut send_;
+  Relay relay_;
+  Book book_;
+  std::multimap<Nanos, std::int64_t> timers_;  // the module's
+};
+
+}  // namespace dillmoor::broker
--- /dev/null
+++ b/src/broker/contract.hpp
@@ -0,0 +1,25 @@
+// What was agreed with the tenants and what this aggregator may hold.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "dillmoor/aggregator.hpp"
+
+namespace dillmoor::broker {
+
+struct Contract {
+  std::string tenant;
+  double share = 0;      // of the service
+  double quotaPerS = 0;  // requests a second over all aggregators; 0: none agreed
+};
+
+struct Terms {
+  Settings settings;  // of the decision module
+  std::vector<Contract> contracts;
+  double overShareWorth = 1;  // what a request beyond its tenant's share is still worth
+  std::size_t maxOpen = 0;    // queries and parts held at once; 0: no limit
+  Nanos longestDeadline = 0;  // a longer one is absurd
+};
+
+}  // namespace dillmoor::broker
--- /dev/null
+++ b/src/broker/relay.cpp
@@ -0,0 +1,24 @@
+#include "broker/relay.hpp"
+
+#include "broker/route.hpp"
+
+namespace dillmoor::broker {
+
+std::optional<AttemptEnded> Relay::ended(const AttemptId& id, Outcome outcome, std::string value, Nanos now) {
+  auto* open = open_.find(id.request);
+  const auto at = static_cast<std::size_t>(id.part), nth = static_cast<std::size_t>(id.attempt);
+  if (!open || at >= open->parts.size() || nth >= open->parts[at].attempts.size()) return std::nullopt;
+  auto& part = open->parts[at];
+  auto& attempt = part.attempts[nth];
+  if (!attempt.out) return std::nullopt;
+  attempt.out = false;
+  ++counters_.ends[static_cast<std::size_t>(outcome)];
+  if (outcome == Outcome::delivered && !part.delivered) {
+    part.delivered = true;
+    part.value = std::move(value);
+  }
+  return AttemptEnded{Route::partId(id.request, at), id.attempt,  attempt.server, outcome,
+                      now - attempt.sentAt,          std::nullopt};
+}
+
+}  // namespace dillmoor::broker
--- /dev/null
+++ b/src/broker/send.cpp
@@ -0,0 +1,45 @@
+#include "broker/send.hpp"
+
+#include <algorithm>
+
+namespace dillmoor::broker {
+
+std::optional<AttemptId> SendOut::send(const AttemptId& id, const Send& order, Nanos now) {
+  auto* open = open_.find(id.request);
+  const auto at = static_cast<std::size_t>(id.part);
+  if (!open || at >= open->parts.size()) return std::nullopt;
+  auto& part = open->parts[at];
+  const AttemptId attempt{id.request, id.part, static_cast<int>(part.attempts.size())};
+  part.attempts.push_back(Attempt{order.server, now, true});
+  // Guards the rule on attempts, and that nothing is sent past the client's time, whatever the module asks.
+  if (attempt.attempt >= terms_.settings.maxAttempts || now >= open->due) {
+    ++counters_.unsent;
+    return attempt;
+  }
+  const Nanos left = open->due - now;
+  if (attempt.attempt > 0) ++counters_.furtherAttempts;
+  ++counters_.sent;
+  backend_.start(AttemptOrder{attempt, order.server, open->request.id + '.' + std::to_string(part.shard),
+                              part.shard, open->query,
+                              order.timeout > 0 ? std::min(order.timeout, left) : left});
+  return std::nullopt;
+}
+
+void SendOut::cancel(const AttemptId& id) {
+  auto* open = open_.find(id.request);
+  const auto part = static_cast<std::size_t>(id.part), at = static_cast<std::size_t>(id.attempt);
+  if (!open || part >= open->parts.size() || at >= open->parts[part].attempts.size()) return;
+  auto& attempt = open->parts[part].attempts[at];
+  if (!attempt.out) return;
+  attempt.out = false;
+  ++counters_.ends[static_cast<std::size_t>(Outcome::cancelled)];
+  backend_.cancel(id);
+}
+
+void SendOut::cancelAll(RequestNo no, OpenRequest& open) {
+  for (std::size_t p = 0; p < open.parts.size(); ++p)
+    for (std::size_t a = 0; a < open.parts[p].attempts.size(); ++a)
+      cancel({no, static_cast<int>(p), static_cast<int>(a)});
+}
+
+}  // namespace dillmoor::broker
--- /dev/null
+++ b/src/broker/send.hpp
@@ -0,0 +1,29 @@
+// Stage 4, send: starts and cancels attempts at the backend, within the budget of attempts for a part.
+#pragma once
+
+#include <optional>
+
+#include "broker/contract.hpp"
+#include "broker/counters.hpp"
+#include "broker/open.hpp"
+
+namespace dillmoor::broker {
+
+class SendOut {
+ public:
+  SendOut(const Terms& terms, OpenRequests& open, Backend& backend, Counters& counters)
+      : terms_(terms), open_(open), backend_(backend), counters_(counters) {}
+  // The attempt's id when it was not made, since its time is over or the part's attempts are used up; it is
+  // numbered all the same, as the module has numbered it.
+  std::optional<AttemptId> send(const AttemptId& part, const Send& order, Nanos now);
+  void cancel(const AttemptId& attempt);
+  void cancelAll(RequestNo no, OpenRequest& open);
+
+ private:
+  const Terms& terms_;
+  OpenRequests& open_;
+  Backend& backend_;
+  Counters& counters_;
+};
+
+}  // namespace dillmoor::broker
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,142 @@
+#include "config/config.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "config/json.hpp"
+
+namespace dillmoor::config {
+
+namespace {
+
+constexpr std::int64_t kMany = 1'000'000;
+constexpr Nanos kSecond = 1'000'000'000, kLongest = 3600 * kSecond;
+
+Nanos time(const Json& json, std::string_view path, Nanos absent) {
+  return json.integer(path, 0, kLongest, absent);
+}
+
+QueryClass readClass(const Json& settings, const Json& profile, std::size_t at) {
+  QueryClass c;
+  c.name = profile.text("name");
+  c.aim = profile.integer("aimNs", 1, kLongest);
+  c.deadline = profile.integer("deadlineNs", 1, kLongest);
+  c.worth = profile.number("value", 0, 1e9, 1);
+  c.lateWorth = profile.number("lateWorth", 0, 1, 0);
+  const auto effect = profile.text("semantics", "repeatable");
+  if (effect == "by_key") {
+    c.effect = Effect::keyed;
+  } else if (effect == "once") {
+    c.effect = Effect::unsafe;
+  } else if (effect != "repeatable") {
+    profile.fail("semantics", "not repeatable, by_key or once");
+  }
+  c.keyedWindow = time(profile, "windowNs", 0);
+  c.need = settings.listed("familyInfo.needByClass", at, 1);
+  c.floor = settings.listed("familyInfo.minShare", at, 1);
+  c.partialWorth = settings.listed("familyInfo.classPartial", at, 0);
+  c.secondStepParts = static_cast<int>(settings.listed("familyInfo.fetchParts", at, 0));
+  if (c.secondStepParts != 0) settings.fail("familyInfo.fetchParts", "second steps are not served");
+  return c;
+}
+
+std::uint64_t readSeed(const Json& json) {
+  const auto text = json.text("seed", "0");
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+    json.fail("seed", "not a hexadecimal number of 64 bits");
+  return seed;
+}
+
+Settings readSettings(const Json& json) {
+  const auto small = [&](std::string_view path, std::int64_t least, std::int64_t absent) {
+    return static_cast<int>(json.integer(path, least, kMany, absent));
+  };
+  Settings s;
+  s.zone = small("az", 0, 0);
+  s.aggregators = small("balancers", 1, 1);
+  s.number = small("selfIndex", 0, 0);
+  s.tick = time(json, "tickNs", 5'000'000);
+  s.shards = static_cast<int>(json.integer("familyInfo.slabs", 1, kMany));
+  s.cells = small("familyInfo.sets", 1, 1);
+  s.reach = small("familyInfo.reach", 1, 1);
+  s.partsPerCall = small("familyInfo.partsACall", 1, 1);
+  s.callOverhead = time(json, "familyInfo.overheadNs", 0);
+  s.maxAttempts = small("limits.maxAttempts", 1, 1);
+  s.secondCopies = json.flag("limits.secondCopies", false);
+  s.cancelling = json.flag("limits.cancelling", false);
+  s.repeatsMarked = json.flag("clients.marksRetry", true);
+  s.retryAfter = json.flag("limits.retryAfter", false);
+  s.maxRetryAfter = time(json, "limits.maxRetryAfterNs", 2 * kSecond);
+  s.answerSlack = time(json, "guarantees.graceToAnswerNs", 0);
+  s.coldFrom = json.number("guarantees.coldFrom", 0, 1, 1);
+  s.coldFor = time(json, "guarantees.coldNs", 0);
+  s.tipMultiple = json.number("guarantees.tipMultiple", 0, 1e9, 0);
+  s.tipWindow = time(json, "guarantees.overloadForNs", 0);
+  s.drainGrace = time(json, "guarantees.drainGraceNs", 0);
+  s.wastePrice = json.number("tariffs.waste", 0, 1e9, 0);
+  s.lateFailPrice = json.number("tariffs.lateFail", 0, 1e9, 0);
+  s.crossZonePrice = json.number("tariffs.crossZone", 0, 1e9, 0);
+  if (json.find("guarantees.countedOverNs"))
+    s.budget = AttemptBudget{json.integer("guarantees.countedOverNs", 1, kLongest),
+                             json.number("guarantees.minExtra", 0, 1e9, 0),
+                             json.number("guarantees.extraRatio", 0, 1e9, 0)};
+  for (const auto& profile : json.objects("profiles"))
+    s.classes.push_back(readClass(json, profile, s.classes.size()));
+  if (const auto fault = findFault(s)) json.fail("", *fault);
+  return s;
+}
+
+}  // namespace
+
+std::string address(const Json& json, std::string_view path, std::optional<std::string_view> absent) {
+  const auto text = json.text(path, absent);
+  const auto colon = text.rfind(':');
+  const auto port = text.substr(std::min(text.size(), colon + 1));
+  const bool digits =
+      !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
+  if (colon == std::string::npos || colon == 0 || !digits || std::stoi(port) > 65535 ||
+      text.substr(0, colon).find_first_not_of("0123456789.") != std::string::npos)
+    json.fail(path, "not an address and port such as 127.0.0.1:8080");
+  return text;
+}
+
+std::string readFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  if (!in || !(text << in.rdbuf())) throw ConfigError("cannot read " + path);
+  return text.str();
+}
+
+Config read(std::string_view text) {
+  const Document document(text);
+  const Json json(document.root);
+  Config out;
+  out.name = json.text("name", "node");
+  out.listen = address(json, "listen");
+  out.discovery = address(json, "discovery");
+  out.sockets = static_cast<std::size_t>(json.integer("limits.sockets", 32, kMany, 1024));
+  if (const auto known = json.find("known")) out.known = simdjson::minify(*known);
+  const auto part = json.find("settings");
+  if (!part || !part->is_object()) json.fail("settings", "missing or not an object");
+  const Json settings(*part, "settings.");
+  out.terms.settings = readSettings(settings);
+  out.terms.settings.seed = readSeed(json);
+  out.terms.maxOpen = static_cast<std::size_t>(settings.integer("limits.maxOpen", 0, kMany, 0));
+  out.terms.overShareWorth = settings.number("overShareWorth", 0, 1, 1);
+  for (const auto& realm : settings.objects("realms"))
+    out.terms.contracts.push_back(
+        {realm.text("name"), realm.number("share", 0, 1, 0), realm.number("quotaPerS", 0, 1e9, 0)});
+  for (const auto& c : out.terms.settings.classes)
+    out.terms.longestDeadline = std::max(out.terms.longestDeadline, 10 * c.deadline);
+  out.zones = settings.texts("localities");
+  out.streamsPerConnection = static_cast<std::size_t>(settings.integer("limits.streamsPerConn", 1, kMany, 1));
+  out.connectTimeout = settings.integer("limits.connectTimeoutNs", 1, kLongest, kSecond / 4);
+  out.connectionIdle = time(settings, "limits.connIdleNs", 30 * kSecond);
+  return out;
+}
+
+}  // namespace dillmoor::config
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,33 @@
+// The one place where configuration is read, checked and given defaults. Errors name the faulty key.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "broker/contract.hpp"
+
+namespace dillmoor::config {
+
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  std::string listen, discovery;  // address:port
+  std::size_t sockets = 1024;     // descriptors that the process may hold
+  broker::Terms terms;
+  std::vector<std::string> zones;
+  std::size_t streamsPerConnection = 1;
+  Nanos connectTimeout = 0, connectionIdle = 0;
+  std::string known;  // the list of nodes as last known, in discovery's form; empty: none
+};
+
+// The platform's configuration. Throws ConfigError.
+Config read(std::string_view json);
+
+std::string readFile(const std::string& path);
+
+}  // namespace dillmoor::config
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,154 @@
+// Wires the parts together and runs the loop; decides nothing.
+#include <Poco/Exception.h>
+#include <signal.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <optional>
+
+#include "broker/broker.hpp"
+#include "config/config.hpp"
+#include "net/loop.hpp"
+#include "net/loop_clock.hpp"
+#include "platform/discovery.hpp"
+#include "platform/front.hpp"
+#include "platform/node_pool.hpp"
+
+namespace {
+
+using dillmoor::Nanos;
+constexpr Nanos kMs = 1'000'000;
+constexpr Nanos kSignalPoll = 20 * kMs;
+// After SIGTERM new clients keep coming until the layer in front has seen /up turn.
+constexpr Nanos kAcceptAfterTerm = 800 * kMs;
+constexpr Nanos kEndPoll = 10 * kMs;
+
+sigset_t handledSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+  return set;
+}
+
+class Program {
+ public:
+  explicit Program(dillmoor::config::Config config)
+      : config_(std::move(config)),
+        log_([](std::string_view line) { std::cerr << line << std::flush; }, [this] { return loop_.now(); }),
+        clock_(loop_, [this] { broker_.wake(); }),
+        pool_(loop_, log_, directory_,
+              {config_.streamsPerConnection, config_.connectionIdle, config_.connectTimeout,
+               config_.sockets / 4},
+              [this](const auto& id, auto outcome, auto value) {
+                broker_.attemptEnded(id, outcome, std::move(value));
+              }),
+        broker_(config_.terms, clock_, pool_, log_) {
+    learnKnown();
+    discovery_.emplace(
+        loop_, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
+        [this](const auto& list) {
+          tell(list, list.full ? dillmoor::ListNews::Scope::full : dillmoor::ListNews::Scope::changes);
+        });
+    front_.emplace(loop_, log_,
+                   dillmoor::http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen),
+                                                   config_.sockets / 2},
+                   broker_, [this] { return counters(); });
+    log_.line("started", config_.name + " listen=" + config_.listen);
+    watchSignals();
+  }
+
+  void run() { loop_.run(); }
+
+ private:
+  void learnKnown() {
+    std::string why;
+    const auto list = config_.known.empty()
+                          ? std::nullopt
+                          : dillmoor::platform::readNodeList(config_.known, config_.zones, why);
+    if (!list && !config_.known.empty()) throw dillmoor::config::ConfigError("key known: " + why);
+    if (list) generation_ = list->generation;
+    tell(list.value_or(dillmoor::platform::NodeList{}), dillmoor::ListNews::Scope::initial);
+  }
+
+  void tell(const dillmoor::platform::NodeList& list, dillmoor::ListNews::Scope scope) {
+    auto news = directory_.apply(list, scope);
+    log_.line("discovery.list", "generation=" + std::to_string(list.generation) + " entries=" +
+                                    std::to_string(list.entries.size()) + (list.full ? " full" : ""));
+    broker_.told(std::move(news));  // first: nothing new goes to nodes whose connections are about to end
+    pool_.listChanged();
+  }
+
+  std::string counters() const {
+    return print(broker_.counters()) + "open " + std::to_string(broker_.open()) + "\nheld " +
+           std::to_string(broker_.held()) + "\nnode_connections " + std::to_string(pool_.connections()) +
+           "\nnode_connections_opened " + std::to_string(pool_.opened()) + '\n';
+  }
+
+  // Signals are blocked and asked for: nothing runs in a signal's context.
+  void watchSignals() {
+    const auto set = handledSignals();
+    const timespec none{};
+    for (int signal = 0; (signal = sigtimedwait(&set, nullptr, &none)) > 0;) {
+      if (signal == SIGUSR1) {
+        std::cerr << counters() << std::flush;
+      } else if (!ending_) {
+        ending_ = true;
+        log_.line("draining", "open=" + std::to_string(broker_.open()));
+        front_->drain();
+        loop_.after(kAcceptAfterTerm, [this] { finish(); });
+      }
+    }
+    loop_.after(kSignalPoll, [this] { watchSignals(); });
+  }
+
+  // Ends once all that was taken has its answer, written whole.
+  void finish() {
+    front_->server().stopAccepting();
+    if (broker_.open() == 0 && front_->server().quiet()) {
+      std::cerr << counters() << std::flush;
+      log_.line("stopped", config_.name);
+      return loop_.stop();
+    }
+    loop_.after(kEndPoll, [this] { finish(); });
+  }
+
+  dillmoor::config::Config config_;
+  dillmoor::net::Loop loop_;
+  dillmoor::broker::Log log_;
+  dillmoor::net::LoopClock clock_;
+  dillmoor::platform::Directory directory_;
+  dillmoor::platform::NodePool pool_;
+  dillmoor::broker::Broker broker_;
+  std::optional<dillmoor::platform::Discovery> discovery_;
+  std::optional<dillmoor::platform::PlatformFront> front_;
+  std::int64_t generation_ = 0;
+  bool ending_ = false;
+};
+
+std::string environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value ? value : "";
+}
+
+}  // namespace
+
+int main() {
+  const auto set = handledSignals();
+  sigprocmask(SIG_BLOCK, &set, nullptr);
+  try {
+    const auto path = environment("NODE_CONFIG");
+    if (path.empty()) throw dillmoor::config::ConfigError("NODE_CONFIG is not set");
+    auto config = dillmoor::config::read(dillmoor::config::readFile(path));
+    if (const auto listen = environment("NODE_LISTEN"); !listen.empty()) config.listen = listen;
+    Program(std::move(config)).run();
+  } catch (const Poco::Exception& error) {
+    std::cerr << "topazweir: " << error.displayText() << '\n';
+    return 1;
+  } catch (const std::exception& error) {
+    std::cerr << "topazweir: " << error.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/net/connection_end.hpp
@@ -0,0 +1,49 @@
+// Every way in which a connection can end, and the one place that says what it means for an attempt.
+#pragma once
+
+#include "dillmoor/aggregator.hpp"
+
+namespace dillmoor::net {
+
+enum class ConnectionEnd {
+  refused,         // nobody listens there
+  unreachable,     // no way there, or no descriptor left for it
+  connectTimeout,  // it did not come up in time
+  peerClosed,      // the peer ended it in order
+  reset,           // the peer, or its machine, broke it
+  writeFailed,     // it broke while something was being written
+  badPeer,         // the peer sent what cannot be understood: closed from here
+  peerFault,       // the peer says that it could not understand us, and closes
+  replaced,        // the process behind it has been restarted since: closed from here
+  closedHere       // no longer needed
+};
+
+constexpr const char* nameOf(ConnectionEnd end) {
+  constexpr const char* kNames[] = {"refused",  "unreachable",  "connect_timeout", "peer_closed",
+                                    "reset",    "write_failed", "bad_peer",        "peer_fault",
+                                    "replaced", "closed_here"};
+  return kNames[static_cast<int>(end)];
+}
+
+// What it means for an attempt on that connection. `written`: the last byte of its request had been written;
+// until then the peer cannot have run it.
+constexpr Outcome outcomeOf(ConnectionEnd end, bool written) {
+  switch (end) {
+    case ConnectionEnd::refused:
+    case ConnectionEnd::unreachable:
+    case ConnectionEnd::connectTimeout:
+      return Outcome::connectFailed;
+    case ConnectionEnd::peerClosed:
+    case ConnectionEnd::reset:
+    case ConnectionEnd::writeFailed:
+    case ConnectionEnd::badPeer:
+    case ConnectionEnd::peerFault:
+    case ConnectionEnd::replaced:
+      return written ? Outcome::reset : Outcome::connectFailed;
+    case ConnectionEnd::closedHere:
+      return written ? Outcome::cancelled : Outcome::notSent;
+  }
+  return Outcome::reset;
+}
+
+}  // namespace dillmoor::net
--- /dev/null
+++ b/src/platform/directory.hpp
@@ -0,0 +1,53 @@
+// The list of nodes as discovery tells it: decoded once, turned into the module's entries and addresses.
+#pragma once
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dillmoor/aggregator.hpp"
+
+namespace dillmoor::platform {
+
+struct NodeEntry {
+  std::string instance;
+  Poco::Net::SocketAddress address;
+  int zone = 0, cell = 0;
+  double weight = 1;
+  ServerState state = ServerState::up;
+  Nanos startedAt = 0;
+};
+
+struct NodeList {
+  std::int64_t generation = 0;
+  bool full = false;
+  std::vector<NodeEntry> entries;
+};
+
+// Decodes one object in discovery's form. On a fault nothing is returned and `why` says which key is at
+// fault.
+std::optional<NodeList> readNodeList(std::string_view json, const std::vector<std::string>& zones,
+                                     std::string& why);
+
+// Keeps the numbers that stand for nodes inside the program, and their latest entries.
+class Directory {
+ public:
+  struct Node {
+    ServerId id = 0;
+    NodeEntry entry;
+  };
+  // Applies a list; returns the same as news for the module.
+  ListNews apply(const NodeList& list, ListNews::Scope scope);
+  const Node* find(ServerId id) const;
+  const std::map<ServerId, Node>& all() const { return nodes_; }
+
+ private:
+  std::map<std::string, ServerId> ids_;
+  std::map<ServerId, Node> nodes_;
+};
+
+}  // namespace dillmoor::platform
--- /dev/null
+++ b/src/platform/frames.hpp
@@ -0,0 +1,38 @@
+// Frames between aggregators and nodes: a four-byte length (most significant byte first), a letter, the rest.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "dillmoor/aggregator.hpp"
+
+namespace dillmoor::platform {
+
+struct Frame {
+  char letter = 0;
+  std::string_view rest;  // a view into the input
+  std::size_t size = 0;   // of the whole frame
+};
+
+struct FrameRead {
+  std::optional<Frame> frame;  // none and no fault: more is needed
+  bool fault = false;
+};
+
+// The frame at the front of the input.
+FrameRead readFrame(std::string_view input);
+
+struct Reply {
+  std::string_view id;  // of the part
+  Outcome outcome = Outcome::delivered;
+  std::string_view value;
+};
+
+// The content of a frame `R`; none when it is malformed.
+std::optional<Reply> readReply(std::string_view rest);
+
+std::string writeCall(std::string_view partId, int shard, Nanos wait, std::string_view query);
+std::string writeCancel(std::string_view partId);
+
+}  // namespace dillmoor::platform
--- /dev/null
+++ b/src/platform/front.hpp
@@ -0,0 +1,35 @@
+// The platform's front: queries as POST, /up for the front layer before it, /counters for people.
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "broker/broker.hpp"
+#include "platform/http_server.hpp"
+
+namespace dillmoor::platform {
+
+class PlatformFront : public broker::Front, private http::Server::Handler {
+ public:
+  PlatformFront(net::Loop& loop, broker::Log& log, http::Server::Options options, broker::Broker& broker,
+                std::function<std::string()> counters);
+
+  void drain();  // /up turns 503
+  http::Server& server() { return server_; }
+
+ private:
+  void onRequest(http::Server::ExchangeNo exchange, const http::Head& head, std::string_view body) override;
+  void onGone(http::Server::ExchangeNo exchange) override;
+  void finish(broker::RequestNo request, broker::FinalAnswer answer) override;
+  void query(http::Server::ExchangeNo exchange, const http::Head& head, std::string_view body);
+  void say(http::Server::ExchangeNo exchange, int status, std::string text);
+
+  broker::Broker& broker_;
+  std::function<std::string()> counters_;
+  bool draining_ = false;
+  std::map<broker::RequestNo, http::Server::ExchangeNo> exchanges_;
+  std::map<http::Server::ExchangeNo, broker::RequestNo> requests_;
+  http::Server server_;
+};
+
+}  // namespace dillmoor::platform
--- /dev/null
+++ b/src/platform/http_server.hpp
@@ -0,0 +1,78 @@
+// The listening side of HTTP/1.1 for every front: connections, one exchange at a time on each, clear 4xx to
+// what is malformed, and an orderly end.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "broker/log.hpp"
+#include "net/connection.hpp"
+#include "platform/http.hpp"
+
+namespace dillmoor::http {
+
+class Server : private net::Connection::Owner {
+ public:
+  using ExchangeNo = std::uint64_t;
+
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    // To be answered by respond(), at once or later.
+    virtual void onRequest(ExchangeNo exchange, const Head& head, std::string_view body) = 0;
+    virtual void onGone(ExchangeNo exchange) = 0;  // the client has left; respond() is no longer of use
+  };
+
+  struct Options {
+    std::string name;  // for the log
+    Poco::Net::SocketAddress address;
+    std::size_t mostConnections = 256;
+    Nanos headTime = 30'000'000'000;  // a request must have come in within this time of its first byte
+  };
+
+  Server(net::Loop& loop, broker::Log& log, Options options, Handler& handler);
+  ~Server() override;
+
+  void respond(ExchangeNo exchange, const Response& response);
+  void drain() { draining_ = true; }  // each answer from now on closes its connection
+  // Closes the listener, and each connection as soon as nothing is open on it.
+  void stopAccepting();
+  bool quiet() const { return clients_.empty(); }  // after stopAccepting: all has been answered and written
+  Poco::Net::SocketAddress address() const { return listener_.address(); }
+
+ private:
+  struct Client {
+    std::shared_ptr<net::Connection> connection;
+    Parser parser{Side::request};
+    ExchangeNo exchange = 0;  // open one; 0: none
+    bool close = false;       // after the open exchange
+    Nanos lastActive = 0;
+  };
+
+  void onAccept(Poco::Net::ReadableNotification* event);
+  void accept();
+  void listen(bool on);
+  void onData(net::Connection& connection) override;
+  void onEnd(net::Connection& connection, net::ConnectionEnd end) override;
+  void serve(Client& client);
+  void reject(Client& client, const Fault& fault);
+  void drop(net::Connection& connection);
+  void sweep();
+  bool makeRoom();
+
+  net::Loop& loop_;
+  broker::Log& log_;
+  Options options_;
+  Handler& handler_;
+  Poco::Net::ServerSocket listener_;
+  net::Loop::TimerId sweepTimer_;
+  std::map<net::Connection*, Client> clients_;
+  std::map<ExchangeNo, net::Connection*> exchanges_;
+  ExchangeNo last_ = 0;
+  bool listening_ = false, open_ = true, draining_ = false;
+};
+
+}  // namespace dillmoor::http
--- /dev/null
+++ b/src/platform/node_pool.hpp
@@ -0,0 +1,66 @@
+// The broker's backend on the platform: attempts as frames on pooled connections to the nodes.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+
+#include "broker/log.hpp"
+#include "broker/ports.hpp"
+#include "net/connection.hpp"
+#include "platform/directory.hpp"
+
+namespace dillmoor::platform {
+
+class NodePool : public broker::Backend {
+ public:
+  using Ended = std::function<void(const broker::AttemptId&, Outcome, std::string value)>;
+  struct Options {
+    std::size_t streams = 1;  // attempts that one connection carries at once
+    Nanos idle = 0;           // the node's machine closes an idle connection then, at the latest; 0: never
+    Nanos connectTime = 0;
+    std::size_t mostConnections = 256;
+  };
+
+  NodePool(net::Loop& loop, broker::Log& log, const Directory& directory, Options options, Ended ended);
+  ~NodePool() override;
+
+  void start(broker::AttemptOrder order) override;
+  void cancel(const broker::AttemptId& id) override;
+  // After the directory has changed: what leads to a process that is no more ends.
+  void listChanged();
+  std::size_t connections() const { return links_.size(); }
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  struct Link;
+  struct Out {  // an attempt that is out
+    broker::AttemptOrder order;
+    std::shared_ptr<Link> link;
+    std::uint64_t frameEnd = 0;  // offset behind its frame among the bytes written; 0: not queued yet
+    net::Loop::TimerId timer;
+  };
+
+  Link* linkFor(const Directory::Node& node);
+  void write(Out& out);
+  void finish(const broker::AttemptId& id, Outcome outcome, std::string value);
+  void release(const Out& out);
+  void onUp(Link& link);
+  void onData(Link& link);
+  void onEnd(Link& link, net::ConnectionEnd end);
+  void timedOut(const broker::AttemptId& id);
+  void sweep();
+
+  net::Loop& loop_;
+  broker::Log& log_;
+  const Directory& directory_;
+  Options options_;
+  Ended ended_;
+  std::map<Link*, std::shared_ptr<Link>> links_;
+  std::map<broker::AttemptId, Out> outs_;
+  net::Loop::TimerId sweepTimer_;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace dillmoor::platform
--- /dev/null
+++ b/src/platform/query.hpp
@@ -0,0 +1,19 @@
+// A platform query: from its head and body to the broker's request, and from the final answer to a response.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "broker/contract.hpp"
+#include "broker/ports.hpp"
+#include "platform/http.hpp"
+
+namespace dillmoor::platform {
+
+// A request, or what is wrong with it.
+std::variant<broker::Request, http::Fault> readQuery(const http::Head& head, std::string_view body,
+                                                     const broker::Terms& terms);
+http::Response writeAnswer(const broker::FinalAnswer& answer);
+
+}  // namespace dillmoor::platform
--- a/src/wirehost.cpp
+++ b/src/sim/simhost.cpp
@@ -10,7 +10,7 @@
   try {
     dillmoor::wire::Host().run(std::cin, std::cout);
   } catch (const std::exception& error) {
-    std::cerr << "dillmoor_wirehost: " << error.what() << '\n';
+    std::cerr << "dillmoor_simhost: " << error.what() << '\n';
     return 1;
   }
   return 0;
