--- a/include/dillmoor/aggregator.hpp
+++ b/include/topazweir/aggregator.hpp
@@ -1,4 +1,4 @@
-// The whole interface of dillmoor: settings, events, actions and the class Aggregator.
+// The whole interface of topazweir: settings, events, actions and the class Aggregator.
 //
 // An Aggregator is handed queries, each divided into parts, one for a shard. It decides which replica of the
 // shard each part goes to, when a further attempt is made and when the query gets its final answer. It does
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace dillmoor {
+namespace topazweir {
 
 using Nanos = std::int64_t;      // a duration, or a moment on the caller's clock
 using ServerId = std::uint64_t;  // one server process; opaque
@@ -202,7 +202,7 @@
   ServerId server = 0;
 };
 
-struct Tell {  // to the other aggregators
+struct Tell {               // to the other aggregators
   std::string bytes;        // 256 at most
   std::optional<int> peer;  // only to this one; none: to all
 };
@@ -238,4 +238,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace dillmoor
+}  // namespace topazweir
--- a/src/broker/admit.cpp
+++ b/src/broker/admit.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 namespace {
 constexpr Nanos kSecond = 1'000'000'000;
@@ -30,4 +30,4 @@
                                                 [&](Nanos at) { return at > now - kSecond; }));
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/admit.hpp
+++ b/src/broker/admit.hpp
@@ -8,7 +8,7 @@
 #include "broker/contract.hpp"
 #include "broker/open.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 class Admit {
  public:
@@ -29,4 +29,4 @@
   std::vector<std::deque<Nanos>> recent_;  // by tenant: requests taken within the quota's second
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -1,6 +1,6 @@
 #include "broker/book.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 TenantCounters* Book::tenant(const OpenRequest& open) {
   const auto at = static_cast<std::size_t>(open.request.tenant);
@@ -48,4 +48,4 @@
   open_.remove(no);
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/book.hpp
+++ b/src/broker/book.hpp
@@ -4,7 +4,7 @@
 #include "broker/counters.hpp"
 #include "broker/open.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 class Book {
  public:
@@ -21,4 +21,4 @@
   Counters& counters_;
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -1,6 +1,6 @@
 #include "broker/broker.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 Broker::Broker(Terms terms, Clock& clock, Backend& backend, Log& log)
     : terms_(std::move(terms)),
@@ -126,9 +126,9 @@
     const Nanos at = clock_.now() + timer->wait;
     timers_.emplace(at, timer->token);
     clock_.wakeAt(at);
-  } else if (const auto* text = std::get_if<dillmoor::Log>(&action)) {
+  } else if (const auto* text = std::get_if<topazweir::Log>(&action)) {
     log_.line("module", text->text);
   }
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/broker.hpp
+++ b/src/broker/broker.hpp
@@ -16,7 +16,7 @@
 #include "broker/send.hpp"
 #include "broker/take_in.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 struct Invalid {
   std::string why;
@@ -61,4 +61,4 @@
   std::multimap<Nanos, std::int64_t> timers_;  // the module's
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/contract.hpp
+++ b/src/broker/contract.hpp
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 struct Contract {
   std::string tenant;
@@ -22,4 +22,4 @@
   Nanos longestDeadline = 0;  // a longer one is absurd
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/counters.cpp
+++ b/src/broker/counters.cpp
@@ -1,6 +1,6 @@
 #include "broker/counters.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 std::string print(const Counters& c) {
   std::string out;
@@ -20,4 +20,4 @@
   return out;
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/counters.hpp
+++ b/src/broker/counters.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 struct TenantCounters {
   std::string name;
@@ -17,7 +17,7 @@
   std::uint64_t taken = 0, turnedAway = 0, invalid = 0;
   std::uint64_t answered = 0, answeredPartial = 0, refused = 0, failed = 0, abandoned = 0;
   std::uint64_t sent = 0, furtherAttempts = 0, unsent = 0;
-  std::array<std::uint64_t, 8> ends{};  // of attempts, by dillmoor::Outcome
+  std::array<std::uint64_t, 8> ends{};  // of attempts, by topazweir::Outcome
   std::vector<TenantCounters> tenants;
 };
 
@@ -27,4 +27,4 @@
 // One "name value" a line.
 std::string print(const Counters& counters);
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/log.cpp
+++ b/src/broker/log.cpp
@@ -1,6 +1,6 @@
 #include "broker/log.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 void Log::line(std::string_view event, std::string_view text) {
   const Nanos now = now_();
@@ -25,4 +25,4 @@
   sink_(out);
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/log.hpp
+++ b/src/broker/log.hpp
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 class Log {
  public:
@@ -32,4 +32,4 @@
   std::map<std::string, Window, std::less<>> windows_;
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/open.hpp
+++ b/src/broker/open.hpp
@@ -7,7 +7,7 @@
 
 #include "broker/ports.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 struct Attempt {
   ServerId server = 0;
@@ -59,4 +59,4 @@
   std::size_t held_ = 0;
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/ports.hpp
+++ b/src/broker/ports.hpp
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <vector>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 using RequestNo = QueryNo;
 
@@ -80,4 +80,4 @@
   virtual void wakeAt(Nanos at) = 0;  // Broker::wake is called then; a later call may only add wakes
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/relay.cpp
+++ b/src/broker/relay.cpp
@@ -2,7 +2,7 @@
 
 #include "broker/route.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 std::optional<AttemptEnded> Relay::ended(const AttemptId& id, Outcome outcome, std::string value, Nanos now) {
   auto* open = open_.find(id.request);
@@ -21,4 +21,4 @@
                       now - attempt.sentAt,          std::nullopt};
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/relay.hpp
+++ b/src/broker/relay.hpp
@@ -6,7 +6,7 @@
 #include "broker/counters.hpp"
 #include "broker/open.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 class Relay {
  public:
@@ -19,4 +19,4 @@
   Counters& counters_;
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 void Route::addRequest(RequestNo no, const OpenRequest& open) {
   const auto& r = open.request;
@@ -19,4 +19,4 @@
   return out;
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/route.hpp
+++ b/src/broker/route.hpp
@@ -8,7 +8,7 @@
 
 #include "broker/open.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 class Route {
  public:
@@ -45,4 +45,4 @@
   bool running_ = false;
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 std::optional<AttemptId> SendOut::send(const AttemptId& id, const Send& order, Nanos now) {
   auto* open = open_.find(id.request);
@@ -42,4 +42,4 @@
       cancel({no, static_cast<int>(p), static_cast<int>(a)});
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/send.hpp
+++ b/src/broker/send.hpp
@@ -7,7 +7,7 @@
 #include "broker/counters.hpp"
 #include "broker/open.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 class SendOut {
  public:
@@ -26,4 +26,4 @@
   Counters& counters_;
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <set>
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 std::optional<std::string> TakeIn::fault(const Request& r) const {
   const auto below = [](int value, std::size_t limit) {
@@ -42,4 +42,4 @@
   return last_;
 }
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/broker/take_in.hpp
+++ b/src/broker/take_in.hpp
@@ -7,7 +7,7 @@
 #include "broker/contract.hpp"
 #include "broker/open.hpp"
 
-namespace dillmoor::broker {
+namespace topazweir::broker {
 
 class TakeIn {
  public:
@@ -22,4 +22,4 @@
   RequestNo last_ = 0;
 };
 
-}  // namespace dillmoor::broker
+}  // namespace topazweir::broker
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,7 +7,7 @@
 
 #include "config/json.hpp"
 
-namespace dillmoor::config {
+namespace topazweir::config {
 
 namespace {
 
@@ -139,4 +139,4 @@
   return out;
 }
 
-}  // namespace dillmoor::config
+}  // namespace topazweir::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -8,7 +8,7 @@
 
 #include "broker/contract.hpp"
 
-namespace dillmoor::config {
+namespace topazweir::config {
 
 struct ConfigError : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -30,4 +30,4 @@
 
 std::string readFile(const std::string& path);
 
-}  // namespace dillmoor::config
+}  // namespace topazweir::config
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -13,7 +13,7 @@
 
 #include "config/config.hpp"
 
-namespace dillmoor::config {
+namespace topazweir::config {
 
 class Json {
  public:
@@ -114,4 +114,4 @@
 // "1.2.3.4:80", as it stands. Names are not looked up: that would block.
 std::string address(const Json& json, std::string_view path, std::optional<std::string_view> absent = {});
 
-}  // namespace dillmoor::config
+}  // namespace topazweir::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-using dillmoor::Nanos;
+using topazweir::Nanos;
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kSignalPoll = 20 * kMs;
 // After SIGTERM new clients keep coming until the layer in front has seen /up turn.
@@ -34,7 +34,7 @@
 
 class Program {
  public:
-  explicit Program(dillmoor::config::Config config)
+  explicit Program(topazweir::config::Config config)
       : config_(std::move(config)),
         log_([](std::string_view line) { std::cerr << line << std::flush; }, [this] { return loop_.now(); }),
         clock_(loop_, [this] { broker_.wake(); }),
@@ -49,11 +49,11 @@
     discovery_.emplace(
         loop_, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
         [this](const auto& list) {
-          tell(list, list.full ? dillmoor::ListNews::Scope::full : dillmoor::ListNews::Scope::changes);
+          tell(list, list.full ? topazweir::ListNews::Scope::full : topazweir::ListNews::Scope::changes);
         });
     front_.emplace(loop_, log_,
-                   dillmoor::http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen),
-                                                   config_.sockets / 2},
+                   topazweir::http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen),
+                                                    config_.sockets / 2},
                    broker_, [this] { return counters(); });
     log_.line("started", config_.name + " listen=" + config_.listen);
     watchSignals();
@@ -66,13 +66,13 @@
     std::string why;
     const auto list = config_.known.empty()
                           ? std::nullopt
-                          : dillmoor::platform::readNodeList(config_.known, config_.zones, why);
-    if (!list && !config_.known.empty()) throw dillmoor::config::ConfigError("key known: " + why);
+                          : topazweir::platform::readNodeList(config_.known, config_.zones, why);
+    if (!list && !config_.known.empty()) throw topazweir::config::ConfigError("key known: " + why);
     if (list) generation_ = list->generation;
-    tell(list.value_or(dillmoor::platform::NodeList{}), dillmoor::ListNews::Scope::initial);
+    tell(list.value_or(topazweir::platform::NodeList{}), topazweir::ListNews::Scope::initial);
   }
 
-  void tell(const dillmoor::platform::NodeList& list, dillmoor::ListNews::Scope scope) {
+  void tell(const topazweir::platform::NodeList& list, topazweir::ListNews::Scope scope) {
     auto news = directory_.apply(list, scope);
     log_.line("discovery.list", "generation=" + std::to_string(list.generation) + " entries=" +
                                     std::to_string(list.entries.size()) + (list.full ? " full" : ""));
@@ -114,15 +114,15 @@
     loop_.after(kEndPoll, [this] { finish(); });
   }
 
-  dillmoor::config::Config config_;
-  dillmoor::net::Loop loop_;
-  dillmoor::broker::Log log_;
-  dillmoor::net::LoopClock clock_;
-  dillmoor::platform::Directory directory_;
-  dillmoor::platform::NodePool pool_;
-  dillmoor::broker::Broker broker_;
-  std::optional<dillmoor::platform::Discovery> discovery_;
-  std::optional<dillmoor::platform::PlatformFront> front_;
+  topazweir::config::Config config_;
+  topazweir::net::Loop loop_;
+  topazweir::broker::Log log_;
+  topazweir::net::LoopClock clock_;
+  topazweir::platform::Directory directory_;
+  topazweir::platform::NodePool pool_;
+  topazweir::broker::Broker broker_;
+  std::optional<topazweir::platform::Discovery> discovery_;
+  std::optional<topazweir::platform::PlatformFront> front_;
   std::int64_t generation_ = 0;
   bool ending_ = false;
 };
@@ -139,8 +139,8 @@
   sigprocmask(SIG_BLOCK, &set, nullptr);
   try {
     const auto path = environment("NODE_CONFIG");
-    if (path.empty()) throw dillmoor::config::ConfigError("NODE_CONFIG is not set");
-    auto config = dillmoor::config::read(dillmoor::config::readFile(path));
+    if (path.empty()) throw topazweir::config::ConfigError("NODE_CONFIG is not set");
+    auto config = topazweir::config::read(topazweir::config::readFile(path));
     if (const auto listen = environment("NODE_LISTEN"); !listen.empty()) config.listen = listen;
     Program(std::move(config)).run();
   } catch (const Poco::Exception& error) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -9,7 +9,7 @@
 #include <array>
 #include <cerrno>
 
-namespace dillmoor::net {
+namespace topazweir::net {
 
 using ReadObserver = Poco::Observer<Connection, Poco::Net::ReadableNotification>;
 using WriteObserver = Poco::Observer<Connection, Poco::Net::WritableNotification>;
@@ -184,4 +184,4 @@
   if (input_.size() >= kMostInput) watch(false, writable_);
 }
 
-}  // namespace dillmoor::net
+}  // namespace topazweir::net
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -13,7 +13,7 @@
 #include "net/connection_end.hpp"
 #include "net/loop.hpp"
 
-namespace dillmoor::net {
+namespace topazweir::net {
 
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
@@ -82,4 +82,4 @@
   std::uint64_t queued_ = 0, written_ = 0;
 };
 
-}  // namespace dillmoor::net
+}  // namespace topazweir::net
--- a/src/net/connection_end.hpp
+++ b/src/net/connection_end.hpp
@@ -1,9 +1,9 @@
 // Every way in which a connection can end, and the one place that says what it means for an attempt.
 #pragma once
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::net {
+namespace topazweir::net {
 
 enum class ConnectionEnd {
   refused,         // nobody listens there
@@ -46,4 +46,4 @@
   return Outcome::reset;
 }
 
-}  // namespace dillmoor::net
+}  // namespace topazweir::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
-namespace dillmoor::net {
+namespace topazweir::net {
 
 namespace {
 
@@ -59,4 +59,4 @@
   setTimeout(Poco::Timespan(wait / 1000));
 }
 
-}  // namespace dillmoor::net
+}  // namespace topazweir::net
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -8,9 +8,9 @@
 #include <map>
 #include <utility>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::net {
+namespace topazweir::net {
 
 class Loop : public Poco::Net::SocketReactor {
  public:
@@ -40,4 +40,4 @@
   std::map<TimerId, std::function<void()>> timers_;
 };
 
-}  // namespace dillmoor::net
+}  // namespace topazweir::net
--- a/src/net/loop_clock.hpp
+++ b/src/net/loop_clock.hpp
@@ -6,7 +6,7 @@
 #include "broker/ports.hpp"
 #include "net/loop.hpp"
 
-namespace dillmoor::net {
+namespace topazweir::net {
 
 class LoopClock : public broker::Clock {
  public:
@@ -19,4 +19,4 @@
   std::function<void()> wake_;
 };
 
-}  // namespace dillmoor::net
+}  // namespace topazweir::net
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 namespace {
 
@@ -107,4 +107,4 @@
   return at == nodes_.end() ? nullptr : &at->second;
 }
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/directory.hpp
+++ b/src/platform/directory.hpp
@@ -9,9 +9,9 @@
 #include <string_view>
 #include <vector>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 struct NodeEntry {
   std::string instance;
@@ -50,4 +50,4 @@
   std::map<ServerId, Node> nodes_;
 };
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 namespace {
 constexpr Nanos kMs = 1'000'000;
@@ -90,4 +90,4 @@
 
 void Discovery::onEnd(net::Connection&, net::ConnectionEnd end) { retry(nameOf(end)); }
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -9,7 +9,7 @@
 #include "platform/directory.hpp"
 #include "platform/http.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 class Discovery : private net::Connection::Owner {
  public:
@@ -44,4 +44,4 @@
   static constexpr http::Limits kLimits{16 * 1024, kMostLine};
 };
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/frames.cpp
+++ b/src/platform/frames.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 namespace {
 
@@ -62,4 +62,4 @@
 
 std::string writeCancel(std::string_view partId) { return frame('C', partId); }
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/frames.hpp
+++ b/src/platform/frames.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <string_view>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 struct Frame {
   char letter = 0;
@@ -35,4 +35,4 @@
 std::string writeCall(std::string_view partId, int shard, Nanos wait, std::string_view query);
 std::string writeCancel(std::string_view partId);
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -2,7 +2,7 @@
 
 #include "platform/query.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 PlatformFront::PlatformFront(net::Loop& loop, broker::Log& log, http::Server::Options options,
                              broker::Broker& broker, std::function<std::string()> counters)
@@ -59,4 +59,4 @@
   server_.respond(exchange, writeAnswer(answer));
 }
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -7,7 +7,7 @@
 #include "broker/broker.hpp"
 #include "platform/http_server.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 class PlatformFront : public broker::Front, private http::Server::Handler {
  public:
@@ -32,4 +32,4 @@
   http::Server server_;
 };
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <cstdio>
 
-namespace dillmoor::http {
+namespace topazweir::http {
 
 namespace {
 
@@ -320,4 +320,4 @@
   return text.data();
 }
 
-}  // namespace dillmoor::http
+}  // namespace topazweir::http
--- a/src/platform/http.hpp
+++ b/src/platform/http.hpp
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-namespace dillmoor::http {
+namespace topazweir::http {
 
 enum class Side { request, response };
 
@@ -99,4 +99,4 @@
 // Seconds with decimals, for Retry-After; at least a millisecond.
 std::string seconds(std::int64_t nanos);
 
-}  // namespace dillmoor::http
+}  // namespace topazweir::http
--- a/src/platform/http_server.cpp
+++ b/src/platform/http_server.cpp
@@ -8,7 +8,7 @@
 #include <cstring>
 #include <vector>
 
-namespace dillmoor::http {
+namespace topazweir::http {
 
 namespace {
 constexpr Nanos kSweep = 1'000'000'000;
@@ -200,4 +200,4 @@
   }
 }
 
-}  // namespace dillmoor::http
+}  // namespace topazweir::http
--- a/src/platform/http_server.hpp
+++ b/src/platform/http_server.hpp
@@ -12,7 +12,7 @@
 #include "net/connection.hpp"
 #include "platform/http.hpp"
 
-namespace dillmoor::http {
+namespace topazweir::http {
 
 class Server : private net::Connection::Owner {
  public:
@@ -75,4 +75,4 @@
   bool listening_ = false, open_ = true, draining_ = false;
 };
 
-}  // namespace dillmoor::http
+}  // namespace topazweir::http
--- a/src/platform/node_pool.cpp
+++ b/src/platform/node_pool.cpp
@@ -5,7 +5,7 @@
 
 #include "platform/frames.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 namespace {
 constexpr Nanos kSweep = 1'000'000'000;
@@ -183,4 +183,4 @@
   for (const auto& link : idle) link->connection->end(net::ConnectionEnd::closedHere);
 }
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/node_pool.hpp
+++ b/src/platform/node_pool.hpp
@@ -11,7 +11,7 @@
 #include "net/connection.hpp"
 #include "platform/directory.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 class NodePool : public broker::Backend {
  public:
@@ -63,4 +63,4 @@
   std::uint64_t opened_ = 0;
 };
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/query.cpp
+++ b/src/platform/query.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 namespace {
 
@@ -114,4 +114,4 @@
   return response;
 }
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/platform/query.hpp
+++ b/src/platform/query.hpp
@@ -9,11 +9,11 @@
 #include "broker/ports.hpp"
 #include "platform/http.hpp"
 
-namespace dillmoor::platform {
+namespace topazweir::platform {
 
 // A request, or what is wrong with it.
 std::variant<broker::Request, http::Fault> readQuery(const http::Head& head, std::string_view body,
                                                      const broker::Terms& terms);
 http::Response writeAnswer(const broker::FinalAnswer& answer);
 
-}  // namespace dillmoor::platform
+}  // namespace topazweir::platform
--- a/src/rules.cpp
+++ b/src/policy.cpp
@@ -14,9 +14,9 @@
 #include <unordered_map>
 #include <utility>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor {
+namespace topazweir {
 
 namespace {
 
@@ -998,4 +998,4 @@
   return std::move(i.actions);
 }
 
-}  // namespace dillmoor
+}  // namespace topazweir
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,9 +2,9 @@
 #include <cmath>
 #include <string>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor {
+namespace topazweir {
 
 std::optional<std::string> findFault(const Settings& s) {
   if (s.classes.empty()) return "no query class";
@@ -31,4 +31,4 @@
   return std::nullopt;
 }
 
-}  // namespace dillmoor
+}  // namespace topazweir
--- a/src/sim/simhost.cpp
+++ b/src/sim/simhost.cpp
@@ -8,9 +8,9 @@
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
   try {
-    dillmoor::wire::Host().run(std::cin, std::cout);
+    topazweir::wire::Host().run(std::cin, std::cout);
   } catch (const std::exception& error) {
-    std::cerr << "dillmoor_simhost: " << error.what() << '\n';
+    std::cerr << "topazweir_simhost: " << error.what() << '\n';
     return 1;
   }
   return 0;
--- a/src/sim/wire.cpp
+++ b/src/sim/wire.cpp
@@ -5,7 +5,7 @@
 #include <istream>
 #include <ostream>
 
-namespace dillmoor::wire {
+namespace topazweir::wire {
 
 namespace {
 
@@ -239,9 +239,8 @@
     finishBatch(out);
     return;
   }
-  static constexpr std::string_view kKnown[] = {"batch",  "up",       "teardown", "list",  "view",
-                                                "job_in", "response", "expired",  "alarm", "echo",
-                                                "heard"};
+  static constexpr std::string_view kKnown[] = {"batch",    "up",      "teardown", "list", "view", "job_in",
+                                                "response", "expired", "alarm",    "echo", "heard"};
   if (std::find(std::begin(kKnown), std::end(kKnown), kind) == std::end(kKnown)) {
     if (!inBatch_) throw WireError("'" + std::string(kind.substr(0, 40)) + "' outside a batch");
     return;  // an event of another site, or of a later version
@@ -427,4 +426,4 @@
   out << "end\n" << std::flush;
 }
 
-}  // namespace dillmoor::wire
+}  // namespace topazweir::wire
--- a/src/sim/wire.hpp
+++ b/src/sim/wire.hpp
@@ -11,9 +11,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::wire {
+namespace topazweir::wire {
 
 // A line that can't be understood: the text names the line and the field.
 struct WireError : std::runtime_error {
@@ -68,4 +68,4 @@
   bool inBatch_ = false;
 };
 
-}  // namespace dillmoor::wire
+}  // namespace topazweir::wire
--- a/tests/large_test.cpp
+++ b/tests/large_test.cpp
@@ -5,7 +5,7 @@
 
 #include "script.hpp"
 
-namespace dillmoor::test {
+namespace topazweir::test {
 namespace {
 
 // Shards on one cell, so that every server holds all of them.
@@ -422,4 +422,4 @@
 }
 
 }  // namespace
-}  // namespace dillmoor::test
+}  // namespace topazweir::test
--- a/tests/robustness_test.cpp
+++ b/tests/robustness_test.cpp
@@ -3,7 +3,7 @@
 
 #include "script.hpp"
 
-namespace dillmoor::test {
+namespace topazweir::test {
 namespace {
 
 TEST(Robust, UnknownIdsAreIgnored) {
@@ -131,4 +131,4 @@
 }
 
 }  // namespace
-}  // namespace dillmoor::test
+}  // namespace topazweir::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,7 +1,7 @@
 // The mechanism and the six rules, through the public interface.
 #include "script.hpp"
 
-namespace dillmoor::test {
+namespace topazweir::test {
 namespace {
 
 Settings noCopies() {
@@ -671,4 +671,4 @@
 }
 
 }  // namespace
-}  // namespace dillmoor::test
+}  // namespace topazweir::test
--- a/tests/script.hpp
+++ b/tests/script.hpp
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "dillmoor/aggregator.hpp"
+#include "topazweir/aggregator.hpp"
 
-namespace dillmoor::test {
+namespace topazweir::test {
 
 constexpr Nanos ms = 1'000'000;
 constexpr Nanos sec = 1000 * ms;
@@ -140,4 +140,4 @@
   std::map<std::string, std::vector<Nanos>> sentAt;
 };
 
-}  // namespace dillmoor::test
+}  // namespace topazweir::test
--- a/tests/told_test.cpp
+++ b/tests/told_test.cpp
@@ -1,7 +1,7 @@
 // What is told: by peers, by a client's time, by how a connection broke; and partial answers.
 #include "script.hpp"
 
-namespace dillmoor::test {
+namespace topazweir::test {
 namespace {
 
 Settings single() {  // no copies, so that each send is a choice
@@ -253,4 +253,4 @@
 }
 
 }  // namespace
-}  // namespace dillmoor::test
+}  // namespace topazweir::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 
 #include "gtest/gtest.h"
 
-namespace dillmoor::wire {
+namespace topazweir::wire {
 namespace {
 
 const std::string kUp =
@@ -138,4 +138,4 @@
 }
 
 }  // namespace
-}  // namespace dillmoor::wire
+}  // namespace topazweir::wire
