--- a/src/broker/counters.cpp
+++ b/src/broker/counters.cpp
@@ -2,10 +2,10 @@
 
 namespace topazweir::broker {
 
-std::string print(const Counters& c) {
+std::string print(const Counters& c, const std::string& prefix) {
   std::string out;
   const auto add = [&](const std::string& name, std::uint64_t value) {
-    out += name + ' ' + std::to_string(value) + '\n';
+    out += prefix + name + ' ' + std::to_string(value) + '\n';
   };
   add("taken", c.taken), add("turned_away", c.turnedAway), add("invalid", c.invalid);
   add("answered", c.answered), add("answered_partial", c.answeredPartial), add("refused", c.refused);
--- a/src/broker/counters.hpp
+++ b/src/broker/counters.hpp
@@ -25,6 +25,6 @@
     "delivered", "error", "rejected", "timed_out", "connect_failed", "reset", "cancelled", "not_sent"};
 
 // One "name value" a line.
-std::string print(const Counters& counters);
+std::string print(const Counters& counters, const std::string& prefix = {});
 
 }  // namespace topazweir::broker
--- /dev/null
+++ b/src/config/features_config.cpp
@@ -0,0 +1,88 @@
+#include "config/features_config.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "config/json.hpp"
+
+namespace topazweir::config {
+
+namespace {
+
+constexpr Nanos kMs = 1'000'000;
+
+FeatureServer readServer(const Json& json) {
+  FeatureServer server{address(json, "address"), ServerState::up};
+  const auto state = json.text("state", "ready");
+  if (state == "draining") {
+    server.state = ServerState::draining;
+  } else if (state == "gone") {
+    server.state = ServerState::gone;
+  } else if (state != "ready") {
+    json.fail("state", "not ready, draining or gone");
+  }
+  return server;
+}
+
+bool isPathSegment(std::string_view id) {
+  return !id.empty() && std::all_of(id.begin(), id.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || c == '-' ||
+           c == '_' || c == '.';
+  });
+}
+
+}  // namespace
+
+Features readFeatures(std::string_view text, const Config& platform) {
+  const Document document(text);
+  const Json json(document.root, "features.");
+  Features out;
+  out.listen = address(json, "listen");
+  out.title = json.text("title", "Branch locations");
+  out.deadline = json.integer("deadlineMs", 10, 600'000, 2000) * kMs;
+  out.pageLimit = static_cast<std::size_t>(json.integer("pageLimit", 1, 10'000, 1000));
+  out.connectTimeout = json.integer("connectTimeoutMs", 1, 60'000, 250) * kMs;
+  out.sockets = static_cast<std::size_t>(json.integer("sockets", 16, 100'000, 200));
+  std::set<std::string> ids;
+  for (const auto& c : json.objects("collections")) {
+    const auto id = c.text("id");
+    if (!isPathSegment(id)) c.fail("id", "not made of letters, digits, '-', '_' and '.'");
+    if (!ids.insert(id).second) c.fail("id", "named twice");
+    out.collections.push_back({id, c.text("title", id), c.text("description", "")});
+  }
+  if (out.collections.empty()) json.fail("collections", "missing or empty");
+  for (const auto& g : json.objects("groups")) {
+    BranchGroup group{g.text("name"), {}};
+    for (const auto& server : g.objects("servers")) group.servers.push_back(readServer(server));
+    if (group.servers.empty()) g.fail("servers", "missing or empty");
+    out.groups.push_back(std::move(group));
+  }
+  if (out.groups.empty()) json.fail("groups", "missing or empty");
+
+  Settings& s = out.terms.settings;
+  s = platform.terms.settings;  // the rules and limits agreed for the platform hold here too
+  s.shards = s.cells = static_cast<int>(out.groups.size());
+  s.reach = 1;
+  s.partsPerCall = 1;
+  s.callOverhead = 0;
+  s.coldFor = s.tipWindow = 0;  // feature servers tell nothing of their starts
+  s.tipMultiple = 0;
+  s.retryAfter = true;
+  s.maxAttempts = static_cast<int>(json.integer("maxAttempts", 1, 4, std::min(4, s.maxAttempts)));
+  QueryClass search;
+  search.name = json.text("class", "feature-search");
+  search.aim = json.integer("aimMs", 1, out.deadline / kMs, out.deadline / kMs / 2) * kMs;
+  search.deadline = out.deadline;
+  search.lateWorth = 0.3;
+  search.floor = json.number("partialFrom", 0, 1, 1);
+  search.partialWorth = 0.8;
+  QueryClass lookup = search;
+  lookup.name += "-item";
+  lookup.floor = 1;
+  s.classes = {search, lookup};
+  out.terms.maxOpen = static_cast<std::size_t>(json.integer("maxOpen", 1, 1'000'000, 400));
+  out.terms.longestDeadline = out.deadline;
+  return out;
+}
+
+}  // namespace topazweir::config
--- /dev/null
+++ b/src/features/front.cpp
@@ -0,0 +1,253 @@
+#include "features/front.hpp"
+
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+
+#include <algorithm>
+
+#include "features/geojson.hpp"
+#include "platform/json_text.hpp"
+
+namespace topazweir::features {
+
+using http::jsonText;
+
+namespace {
+
+constexpr const char* kJson = "application/json";
+constexpr const char* kGeoJson = "application/geo+json";
+constexpr Nanos kAsk = 1'000'000'000;  // to come back after, where the module gives no advice
+
+http::Response problem(int status, std::string_view description) {
+  return {
+      status,
+      kJson,
+      R"({"code":)" + jsonText(std::to_string(status)) + R"(,"description":)" + jsonText(description) + "}",
+      {}};
+}
+
+std::vector<std::string_view> segments(std::string_view path) {
+  std::vector<std::string_view> out;
+  while (!path.empty()) {
+    path.remove_prefix(1);  // the slash
+    const auto end = std::min(path.find('/'), path.size());
+    if (end > 0 || end < path.size()) out.push_back(path.substr(0, end));
+    path.remove_prefix(end);
+  }
+  return out;
+}
+
+}  // namespace
+
+Front::Front(net::Loop& loop, broker::Log& log, const config::Features& config, broker::Broker& broker)
+    : config_(config),
+      loop_(loop),
+      broker_(broker),
+      server_(
+          loop, log,
+          {"features", Poco::Net::SocketAddress(config.listen), std::max<std::size_t>(8, config.sockets / 2)},
+          *this) {}
+
+void Front::onRequest(http::Server::ExchangeNo exchange, const http::Head& head, std::string_view) {
+  const auto question = std::min(head.target.find('?'), head.target.size());
+  const auto path = head.target.substr(0, question);
+  const auto query = head.target.substr(std::min(question + 1, head.target.size()));
+  const std::string base = "http://" + std::string(head.field("Host").value_or(config_.listen));
+  const auto parts = segments(path);
+  const bool items =
+      parts.size() >= 3 && parts.size() <= 4 && parts[0] == "collections" && parts[2] == "items";
+  if (!items) {
+    auto response = document(path, base);
+    if (response.status == 200 && head.method != "GET") response = problem(405, "only GET is allowed");
+    if (response.status == 200 && !query.empty()) response = problem(400, "unknown parameter");
+    if (response.status == 405) response.fields.emplace_back("Allow", "GET");
+    return server_.respond(exchange, response);
+  }
+  const auto known = std::any_of(config_.collections.begin(), config_.collections.end(),
+                                 [&](const auto& c) { return c.id == parts[1]; });
+  const bool single = parts.size() == 4;
+  const auto id = single ? decode(parts[3]) : std::string("-");
+  if (!known || !id || id->empty()) return server_.respond(exchange, problem(404, "no such resource"));
+  if (head.method != "GET") {
+    auto response = problem(405, "only GET is allowed");
+    response.fields.emplace_back("Allow", "GET");
+    return server_.respond(exchange, response);
+  }
+  Open open{exchange, std::string(parts[1]), std::nullopt, base};
+  const std::string target = "/collections/" + open.collection + "/items";
+  if (single) {
+    if (!query.empty()) return server_.respond(exchange, problem(400, "unknown parameter"));
+    return ask(std::move(open), config::Features::kLookup, target + "/" + encode(*id));
+  }
+  auto read = readItemsQuery(query);
+  if (const auto* fault = std::get_if<std::string>(&read))
+    return server_.respond(exchange, problem(400, *fault));
+  open.items = std::get<ItemsQuery>(read);
+  // Every feature is fetched, whatever the page asked for: which ones it holds depends on all groups.
+  const std::string all = target + "?" + filters(*open.items) + "limit=" + std::to_string(config_.pageLimit);
+  ask(std::move(open), config::Features::kSearch, all);
+}
+
+void Front::ask(Open open, int queryClass, std::string query) {
+  broker::Request request;
+  request.id = "f" + std::to_string(++lastId_);
+  request.queryClass = queryClass;
+  request.timeLeft = config_.deadline;
+  request.query = std::move(query);
+  const auto groups = config_.groups.size();
+  for (std::size_t g = 0; g < groups; ++g)
+    request.parts.push_back({static_cast<int>(g), 1.0 / static_cast<double>(groups)});
+  const auto taken = broker_.take(std::move(request), *this);
+  if (const auto* invalid = std::get_if<broker::Invalid>(&taken))
+    return server_.respond(open.exchange, problem(400, invalid->why));
+  const auto no = std::get<broker::RequestNo>(taken);
+  requests_[open.exchange] = no;
+  open_[no] = std::move(open);
+  broker_.begin(no);
+}
+
+void Front::onGone(http::Server::ExchangeNo exchange) {
+  const auto at = requests_.find(exchange);
+  if (at == requests_.end()) return;
+  const auto request = at->second;
+  requests_.erase(at);
+  open_.erase(request);
+  broker_.abandon(request);
+}
+
+void Front::finish(broker::RequestNo request, broker::FinalAnswer answer) {
+  const auto at = open_.find(request);
+  if (at == open_.end()) return;
+  const Open open = std::move(at->second);
+  open_.erase(at);
+  requests_.erase(open.exchange);
+  if (answer.verdict == broker::Verdict::answered)
+    return server_.respond(open.exchange, open.items ? writeItems(open, answer) : writeItem(open, answer));
+  if (answer.verdict == broker::Verdict::refused) {
+    auto response = problem(503, "no answer can be had now; asking again is harmless");
+    response.fields.emplace_back("Retry-After",
+                                 std::to_string(std::max<Nanos>(1, (answer.retryAfter + kAsk - 1) / kAsk)));
+    return server_.respond(open.exchange, response);
+  }
+  server_.respond(open.exchange, answer.timedOut ? problem(504, "the time for the answer has run out")
+                                                 : problem(502, "the feature servers have failed"));
+}
+
+http::Response Front::writeItems(const Open& open, const broker::FinalAnswer& answer) const {
+  const ItemsQuery& query = *open.items;
+  auto results = answer.results;
+  std::sort(results.begin(), results.end(), [](const auto& a, const auto& b) { return a.shard < b.shard; });
+  std::vector<std::string> features;
+  std::string missing;
+  for (std::size_t g = 0; g < config_.groups.size(); ++g) {
+    const auto in = std::find_if(results.begin(), results.end(),
+                                 [&](const auto& r) { return r.shard == static_cast<int>(g); });
+    if (in == results.end()) {
+      missing.append(missing.empty() ? "" : ",").append(jsonText(config_.groups[g].name));
+    } else {
+      for (auto& feature : split(in->value)) features.push_back(std::move(feature));
+    }
+  }
+  const std::string path = open.base + "/collections/" + open.collection + "/items?" + filters(query);
+  const auto page = [&](std::size_t offset) {
+    return path + "limit=" + std::to_string(query.limit) + "&offset=" + std::to_string(offset);
+  };
+  std::vector<Link> links{{page(query.offset), "self", kGeoJson, "this page"}};
+  const auto from = std::min(query.offset, features.size());
+  const auto to = std::min(from + query.limit, features.size());
+  if (to < features.size()) links.push_back({page(to), "next", kGeoJson, "next page"});
+  const auto stamp = Poco::DateTimeFormatter::format(Poco::Timestamp(loop_.now() / 1000),
+                                                     Poco::DateTimeFormat::ISO8601_FORMAT);
+  http::Response response;
+  response.contentType = kGeoJson;
+  response.fields.emplace_back("Content-Crs", "<http://www.opengis.net/def/crs/OGC/1.3/CRS84>");
+  auto& body = response.body;
+  body = R"({"type":"FeatureCollection","timeStamp":)" + jsonText(stamp);
+  // How many match is known only when every group has answered.
+  if (answer.whole) body += R"(,"numberMatched":)" + std::to_string(features.size());
+  body += R"(,"numberReturned":)" + std::to_string(to - from);
+  body += std::string(R"(,"partial":)") + (answer.whole ? "false" : "true");
+  if (!answer.whole) body += R"(,"missingGroups":[)" + missing + "]";
+  body += R"(,"links":)" + writeLinks(links) + R"(,"features":[)";
+  body += join({features.begin() + static_cast<std::ptrdiff_t>(from),
+                features.begin() + static_cast<std::ptrdiff_t>(to)});
+  body += "]}";
+  return response;
+}
+
+http::Response Front::writeItem(const Open&, const broker::FinalAnswer& answer) const {
+  for (const auto& result : answer.results)
+    if (!result.value.empty()) return {200, kGeoJson, result.value, {}};
+  return problem(404, "no such feature");
+}
+
+std::string Front::collectionJson(const config::FeatureCollection& c, const std::string& base) const {
+  const std::string path = base + "/collections/" + c.id;
+  return R"({"id":)" + jsonText(c.id) + R"(,"title":)" + jsonText(c.title) + R"(,"description":)" +
+         jsonText(c.description) +
+         R"(,"itemType":"feature","crs":["http://www.opengis.net/def/crs/OGC/1.3/CRS84"])" + R"(,"links":)" +
+         writeLinks({{path, "self", kJson, c.title}, {path + "/items", "items", kGeoJson, "the features"}}) +
+         "}";
+}
+
+std::string Front::apiJson() const {
+  std::string paths = R"("/":{"get":{"responses":{"200":{"description":"landing page"}}}})";
+  const auto add = [&](const std::string& path, std::string_view what, std::string_view parameters) {
+    paths.append(",").append(jsonText(path));
+    paths += R"(:{"get":{"parameters":[)" + std::string(parameters) +
+             R"(],"responses":{"200":{"description":)" + jsonText(what) + "}}}}";
+  };
+  add("/conformance", "conformance classes", "");
+  add("/collections", "the collections", "");
+  for (const auto& c : config_.collections) {
+    const std::string path = "/collections/" + c.id;
+    add(path, c.title, "");
+    add(path + "/items", "features",
+        R"({"name":"bbox","in":"query","schema":{"type":"string"}},)"
+        R"({"name":"datetime","in":"query","schema":{"type":"string"}},)"
+        R"({"name":"limit","in":"query","schema":{"type":"integer","minimum":1,"maximum":10000,"default":10}},)"
+        R"({"name":"offset","in":"query","schema":{"type":"integer","minimum":0,"default":0}})");
+    add(path + "/items/{featureId}", "a feature",
+        R"({"name":"featureId","in":"path","required":true,"schema":{"type":"string"}})");
+  }
+  return R"({"openapi":"3.0.3","info":{"title":)" + jsonText(config_.title) +
+         R"(,"version":"1.0"},"paths":{)" + paths + "}}";
+}
+
+http::Response Front::document(std::string_view path, const std::string& base) const {
+  constexpr const char* kApi = "application/vnd.oai.openapi+json;version=3.0";
+  const std::string collections = base + "/collections";
+  if (path == "/")
+    return {200,
+            kJson,
+            R"({"title":)" + jsonText(config_.title) +
+                R"(,"description":"Features of all branch groups","links":)" +
+                writeLinks({{base + "/", "self", kJson, "this document"},
+                            {base + "/api", "service-desc", kApi, "the API definition"},
+                            {base + "/conformance", "conformance", kJson, "conformance classes"},
+                            {collections, "data", kJson, "the collections"}}) +
+                "}",
+            {}};
+  if (path == "/api") return {200, kApi, apiJson(), {}};
+  if (path == "/conformance")
+    return {200,
+            kJson,
+            R"({"conformsTo":["http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/core",)"
+            R"("http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/geojson"]})",
+            {}};
+  if (path == "/collections") {
+    std::string list;
+    for (const auto& c : config_.collections)
+      list.append(list.empty() ? "" : ",").append(collectionJson(c, base));
+    return {200,
+            kJson,
+            R"({"links":)" + writeLinks({{collections, "self", kJson, "this document"}}) +
+                R"(,"collections":[)" + list + "]}",
+            {}};
+  }
+  for (const auto& c : config_.collections)
+    if (path == "/collections/" + c.id) return {200, kJson, collectionJson(c, base), {}};
+  return problem(404, "no such resource");
+}
+
+}  // namespace topazweir::features
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,7 +2,7 @@
 #include <Poco/Exception.h>
 #include <signal.h>
 
-#include <cstdio>
+#include <algorithm>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -10,6 +10,7 @@
 
 #include "broker/broker.hpp"
 #include "config/config.hpp"
+#include "features/side.hpp"
 #include "net/loop.hpp"
 #include "net/loop_clock.hpp"
 #include "platform/discovery.hpp"
@@ -28,14 +29,15 @@
 sigset_t handledSignals() {
   sigset_t set;
   sigemptyset(&set);
-  for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+  for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
   return set;
 }
 
 class Program {
  public:
-  explicit Program(topazweir::config::Config config)
+  Program(topazweir::config::Config config, std::string featuresFile)
       : config_(std::move(config)),
+        featuresFile_(std::move(featuresFile)),
         log_([](std::string_view line) { std::cerr << line << std::flush; }, [this] { return loop_.now(); }),
         clock_(loop_, [this] { broker_.wake(); }),
         pool_(loop_, log_, directory_,
@@ -55,6 +57,7 @@
                    topazweir::http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen),
                                                     config_.sockets / 2},
                    broker_, [this] { return counters(); });
+    if (!featuresFile_.empty()) features_.emplace(loop_, log_, readFeatures());
     log_.line("started", config_.name + " listen=" + config_.listen);
     watchSignals();
   }
@@ -62,6 +65,27 @@
   void run() { loop_.run(); }
 
  private:
+  topazweir::config::Features readFeatures() const {
+    return topazweir::config::readFeatures(topazweir::config::readFile(featuresFile_), config_);
+  }
+
+  // SIGHUP: the states of the feature servers are read anew; all else needs a restart. A fault in the file
+  // leaves all as it was.
+  void rereadFeatures() {
+    if (!features_) return;
+    try {
+      const auto fresh = readFeatures();
+      const auto& groups = features_->config().groups;
+      const bool same = std::equal(groups.begin(), groups.end(), fresh.groups.begin(), fresh.groups.end(),
+                                   [](const auto& a, const auto& b) { return a.name == b.name; });
+      if (!same) throw topazweir::config::ConfigError("key features.groups: changed; that needs a restart");
+      features_->told(fresh.groups);
+      log_.line("features.reread", featuresFile_);
+    } catch (const topazweir::config::ConfigError& error) {
+      log_.line("features.reread_failed", error.what());
+    }
+  }
+
   void learnKnown() {
     std::string why;
     const auto list = config_.known.empty()
@@ -80,10 +104,13 @@
     pool_.listChanged();
   }
 
-  std::string counters() const {
-    return print(broker_.counters()) + "open " + std::to_string(broker_.open()) + "\nheld " +
-           std::to_string(broker_.held()) + "\nnode_connections " + std::to_string(pool_.connections()) +
-           "\nnode_connections_opened " + std::to_string(pool_.opened()) + '\n';
+  std::string counters() {
+    std::string out = print(broker_.counters()) + "open " + std::to_string(broker_.open()) + "\nheld " +
+                      std::to_string(broker_.held()) + "\nnode_connections " +
+                      std::to_string(pool_.connections()) + "\nnode_connections_opened " +
+                      std::to_string(pool_.opened()) + '\n';
+    if (features_) out += print(features_->broker().counters(), "features_");
+    return out;
   }
 
   // Signals are blocked and asked for: nothing runs in a signal's context.
@@ -93,10 +120,13 @@
     for (int signal = 0; (signal = sigtimedwait(&set, nullptr, &none)) > 0;) {
       if (signal == SIGUSR1) {
         std::cerr << counters() << std::flush;
+      } else if (signal == SIGHUP) {
+        rereadFeatures();
       } else if (!ending_) {
         ending_ = true;
         log_.line("draining", "open=" + std::to_string(broker_.open()));
         front_->drain();
+        if (features_) features_->server().drain();
         loop_.after(kAcceptAfterTerm, [this] { finish(); });
       }
     }
@@ -106,7 +136,9 @@
   // Ends once all that was taken has its answer, written whole.
   void finish() {
     front_->server().stopAccepting();
-    if (broker_.open() == 0 && front_->server().quiet()) {
+    if (features_) features_->server().stopAccepting();
+    const bool quiet = !features_ || (features_->broker().open() == 0 && features_->server().quiet());
+    if (quiet && broker_.open() == 0 && front_->server().quiet()) {
       std::cerr << counters() << std::flush;
       log_.line("stopped", config_.name);
       return loop_.stop();
@@ -115,6 +147,7 @@
   }
 
   topazweir::config::Config config_;
+  std::string featuresFile_;  // empty: the OGC front is off
   topazweir::net::Loop loop_;
   topazweir::broker::Log log_;
   topazweir::net::LoopClock clock_;
@@ -123,6 +156,7 @@
   topazweir::broker::Broker broker_;
   std::optional<topazweir::platform::Discovery> discovery_;
   std::optional<topazweir::platform::PlatformFront> front_;
+  std::optional<topazweir::features::Side> features_;
   std::int64_t generation_ = 0;
   bool ending_ = false;
 };
@@ -132,9 +166,16 @@
   return value ? value : "";
 }
 
+// Options: --features FILE switches the OGC front on.
+std::string option(int count, char** words, std::string_view name) {
+  for (int i = 1; i + 1 < count; ++i)
+    if (words[i] == name) return words[i + 1];
+  return {};
+}
+
 }  // namespace
 
-int main() {
+int main(int count, char** words) {
   const auto set = handledSignals();
   sigprocmask(SIG_BLOCK, &set, nullptr);
   try {
@@ -142,7 +183,7 @@
     if (path.empty()) throw topazweir::config::ConfigError("NODE_CONFIG is not set");
     auto config = topazweir::config::read(topazweir::config::readFile(path));
     if (const auto listen = environment("NODE_LISTEN"); !listen.empty()) config.listen = listen;
-    Program(std::move(config)).run();
+    Program(std::move(config), option(count, words, "--features")).run();
   } catch (const Poco::Exception& error) {
     std::cerr << "topazweir: " << error.displayText() << '\n';
     return 1;
--- /dev/null
+++ b/src/platform/json_text.cpp
@@ -0,0 +1,21 @@
+#include "platform/json_text.hpp"
+
+namespace topazweir::http {
+
+std::string jsonText(std::string_view text) {
+  constexpr std::string_view kHex = "0123456789abcdef";
+  std::string out = "\"";
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x20) {
+      out += "\\u00";
+      out += kHex[byte >> 4], out += kHex[byte & 15];
+      continue;
+    }
+    if (c == '"' || c == '\\') out += '\\';
+    out += c;
+  }
+  return out += '"';
+}
+
+}  // namespace topazweir::http
--- /dev/null
+++ b/src/platform/json_text.hpp
@@ -0,0 +1,11 @@
+// A text as a JSON string, quotes included.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace topazweir::http {
+
+std::string jsonText(std::string_view text);
+
+}  // namespace topazweir::http
--- a/src/platform/query.cpp
+++ b/src/platform/query.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "platform/json_text.hpp"
+
 namespace topazweir::platform {
 
 namespace {
@@ -20,22 +22,6 @@
   return static_cast<Nanos>(value * 1e9);
 }
 
-void appendJsonString(std::string& out, std::string_view text) {
-  constexpr std::string_view kHex = "0123456789abcdef";
-  out += '"';
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (c == '"' || c == '\\') out += '\\';
-    if (byte < 0x20) {
-      out += "\\u00";
-      out += kHex[byte >> 4], out += kHex[byte & 15];
-    } else {
-      out += c;
-    }
-  }
-  out += '"';
-}
-
 }  // namespace
 
 std::variant<broker::Request, http::Fault> readQuery(const http::Head& head, std::string_view body,
@@ -95,8 +81,7 @@
       for (std::size_t i = 0; i < answer.results.size(); ++i) {
         if (i > 0) response.body += ',';
         response.body += R"({"partition":)" + std::to_string(answer.results[i].shard) + R"(,"value":)";
-        appendJsonString(response.body, answer.results[i].value);
-        response.body += '}';
+        response.body += http::jsonText(answer.results[i].value) + '}';
       }
       response.body += "]}";
       return response;
--- /dev/null
+++ b/tests/cuts.hpp
@@ -0,0 +1,46 @@
+// The one helper for parsers: feeds a message in random pieces, and random garbage, from fixed seeds.
+#pragma once
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "check.hpp"
+
+namespace topazweir::test {
+
+// `parse` is given the pieces of a message one after the other and returns what it made of them at the end,
+// as text. However the message is cut, that must be what the whole message gives.
+using Parse = std::function<std::string(const std::vector<std::string>& pieces)>;
+
+inline void sameAtEveryCut(const std::string& message, const Parse& parse) {
+  const std::string whole = parse({message});
+  CHECK(!whole.empty());
+  for (std::size_t at = 1; at < message.size(); ++at)
+    CHECK(parse({message.substr(0, at), message.substr(at)}) == whole);
+  std::mt19937 random(7);
+  for (int round = 0; round < 50; ++round) {
+    std::vector<std::string> pieces;
+    for (std::size_t at = 0; at < message.size(); at += pieces.back().size())
+      pieces.push_back(message.substr(at, 1 + random() % 9));
+    CHECK(parse(pieces) == whole);
+  }
+}
+
+// Valid messages with bytes changed, and bytes without any sense: nothing may crash or hang.
+inline void survivesGarbage(const std::string& message, const Parse& parse) {
+  std::mt19937 random(11);
+  for (int round = 0; round < 2000; ++round) {
+    std::string text = message;
+    if (round % 2 == 0) text.resize(random() % 200);
+    for (std::size_t i = 0; i < 1 + random() % 8 && !text.empty(); ++i)
+      text[random() % text.size()] = static_cast<char>(random());
+    if (round % 4 == 0)
+      for (auto& c : text) c = static_cast<char>(random());
+    const auto cut = random() % (text.size() + 1);
+    CHECK(parse({text.substr(0, cut), text.substr(cut)}).size() < 1'000'000);
+  }
+}
+
+}  // namespace topazweir::test
--- /dev/null
+++ b/tests/fronts_test.cpp
@@ -0,0 +1,218 @@
+// The same faults through both fronts, in loopback: the outcomes and the timings must be the same.
+#include <functional>
+#include <vector>
+
+#include "check.hpp"
+#include "features/side.hpp"
+#include "platform/front.hpp"
+#include "platform/node_pool.hpp"
+#include "stand_in.hpp"
+
+namespace topazweir::test {
+namespace {
+
+constexpr Nanos kMs = 1'000'000;
+constexpr Nanos kDeadline = 1500 * kMs, kAim = 1000 * kMs;
+constexpr Nanos kSame = 500 * kMs;  // wide: the machine may be busy
+
+// Two servers hold the one shard. Which states and faults they show is the scenario.
+struct Scenario {
+  const char* name;
+  std::vector<Fault> faults;
+  bool listening = true;
+  ServerState state = ServerState::up;
+  int status;
+  Nanos least, most;
+};
+
+struct Seen {
+  int status = 0;
+  std::string body, retryAfter;
+  Nanos took = 0;
+  int requests = 0;
+};
+
+config::Config platformConfig() {
+  config::Config config;
+  Settings& s = config.terms.settings;
+  s.seed = 5;
+  s.tick = 5 * kMs;
+  s.shards = s.cells = s.reach = 1;
+  s.maxAttempts = 4;
+  s.secondCopies = s.cancelling = s.retryAfter = true;
+  s.maxRetryAfter = 2000 * kMs;
+  QueryClass c;
+  c.name = "search";
+  c.aim = kAim;
+  c.deadline = kDeadline;
+  c.lateWorth = 0.3;
+  s.classes = {c};
+  config.terms.longestDeadline = 10 * kDeadline;
+  config.connectTimeout = 250 * kMs;
+  config.streamsPerConnection = 32;
+  return config;
+}
+
+config::Features featuresConfig(const std::vector<config::FeatureServer>& servers, std::size_t groups = 1) {
+  std::string list;
+  for (const auto& s : servers) {
+    const char* state = s.state == ServerState::up ? "ready" : "draining";
+    list += (list.empty() ? "" : ",") + (R"({"address":")" + s.address + R"(","state":")" + state + R"("})");
+  }
+  std::string all;
+  for (std::size_t g = 0; g < groups; ++g)
+    all +=
+        (all.empty() ? "" : ",") + (R"({"name":"g)" + std::to_string(g) + R"(","servers":[)" + list + "]}");
+  return config::readFeatures(R"({"listen":"127.0.0.1:0","class":"search","deadlineMs":1500,"aimMs":1000,)"
+                              R"("collections":[{"id":"branches"}],"groups":[)" +
+                                  all + "]}",
+                              platformConfig());
+}
+
+struct World {
+  net::Loop loop;
+  broker::Log log{[](std::string_view line) { std::fwrite(line.data(), 1, line.size(), stderr); },
+                  [this] { return loop.now(); }};
+  Seen ask(const std::string& address, const std::string& request) {
+    Client client(loop, address, request);
+    const auto limit = loop.after(10'000 * kMs, [this] { loop.stop(); });
+    loop.run();
+    loop.cancel(limit);
+    return {client.status, client.body, client.retryAfter, client.took, 0};
+  }
+};
+
+std::string unused() {
+  return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().toString();
+}
+
+Seen throughPlatform(const Scenario& scenario) {
+  World w;
+  NodeSpeaker speaker;
+  std::vector<std::unique_ptr<StandIn>> nodes;
+  platform::NodeList list;
+  for (const auto fault : scenario.faults) {
+    nodes.push_back(std::make_unique<StandIn>(w.loop, speaker, fault));
+    platform::NodeEntry entry;
+    entry.instance = "s" + std::to_string(nodes.size());
+    entry.address = Poco::Net::SocketAddress(scenario.listening ? nodes.back()->address() : unused());
+    entry.state = scenario.state;
+    list.entries.push_back(entry);
+  }
+  const auto config = platformConfig();
+  broker::Broker* core = nullptr;
+  net::LoopClock clock(w.loop, [&] { core->wake(); });
+  platform::Directory directory;
+  platform::NodePool pool(
+      w.loop, w.log, directory, {32, 0, config.connectTimeout, 16},
+      [&](const auto& id, auto outcome, auto value) { core->attemptEnded(id, outcome, std::move(value)); });
+  broker::Broker broker(config.terms, clock, pool, w.log);
+  core = &broker;
+  broker.told(directory.apply(list, ListNews::Scope::full));
+  platform::PlatformFront front(w.loop, w.log, {"platform", Poco::Net::SocketAddress("127.0.0.1", 0)}, broker,
+                                [&] { return print(broker.counters()); });
+  const std::string body = R"({"targets":[{"partition":0,"share":1}],"query":"x"})";
+  auto seen = w.ask(front.server().address().toString(),
+                    "POST /search HTTP/1.1\r\nHost: a\r\nReq-Id: q\r\nReq-Deadline: 1.5\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body);
+  const auto& c = broker.counters();
+  CHECK(c.taken == 1 && c.answered + c.refused + c.failed == 1 && broker.open() == 0);
+  CHECK(c.sent <= 4);
+  for (const auto& node : nodes) seen.requests += node->requests();
+  return seen;
+}
+
+Seen throughFeatures(const Scenario& scenario, FeatureSpeaker speaker = {},
+                     const std::string& target = "/collections/branches/items") {
+  World w;
+  std::vector<std::unique_ptr<StandIn>> servers;
+  std::vector<config::FeatureServer> list;
+  for (const auto fault : scenario.faults) {
+    servers.push_back(std::make_unique<StandIn>(w.loop, speaker, fault));
+    list.push_back({scenario.listening ? servers.back()->address() : unused(), scenario.state});
+  }
+  features::Side side(w.loop, w.log, featuresConfig(list));
+  auto seen = w.ask(side.server().address().toString(), "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto& c = side.broker().counters();
+  CHECK(c.taken <= 1 && c.answered + c.refused + c.failed == c.taken && side.broker().open() == 0);
+  CHECK(c.sent <= 4);
+  for (const auto& server : servers) seen.requests += server->requests();
+  return seen;
+}
+
+void sameFaultsThroughBothFronts() {
+  using F = Fault;
+  const Scenario scenarios[] = {
+      {"sound", {F::none, F::none}, true, ServerState::up, 200, 0, 500 * kMs},
+      {"slow", {F::slow, F::slow}, true, ServerState::up, 200, 290 * kMs, 1000 * kMs},
+      {"one silent", {F::silent, F::none}, true, ServerState::up, 200, 0, kDeadline},
+      {"the other silent", {F::none, F::silent}, true, ServerState::up, 200, 0, kDeadline},
+      {"both silent", {F::silent, F::silent}, true, ServerState::up, 503, 900 * kMs, kDeadline + kSame},
+      {"one cut halfway", {F::cutHalfway, F::none}, true, ServerState::up, 200, 0, 1000 * kMs},
+      {"both cut halfway", {F::cutHalfway, F::cutHalfway}, true, ServerState::up, 503, 0, kDeadline + kSame},
+      {"both reject", {F::rejects, F::rejects}, true, ServerState::up, 503, 0, kDeadline + kSame},
+      {"both err", {F::errs, F::errs}, true, ServerState::up, 503, 0, kDeadline + kSame},
+      {"nobody listens", {F::none, F::none}, false, ServerState::up, 503, 0, kDeadline + kSame},
+      {"drained", {F::none, F::none}, true, ServerState::draining, 503, 0, 500 * kMs},
+  };
+  for (const auto& s : scenarios) {
+    const auto a = throughPlatform(s), b = throughFeatures(s);
+    std::printf("%-18s platform %d in %lld ms, features %d in %lld ms\n", s.name, a.status,
+                static_cast<long long>(a.took / kMs), b.status, static_cast<long long>(b.took / kMs));
+    for (const auto& seen : {a, b}) {
+      CHECK(seen.status == s.status);
+      CHECK(seen.took >= s.least && seen.took <= s.most);
+      CHECK(seen.status != 503 || !seen.retryAfter.empty());
+      CHECK(s.state == ServerState::up || seen.requests == 0);  // nothing new to a draining server
+    }
+    CHECK(std::abs(a.took - b.took) < kSame);
+  }
+}
+
+void pages() {
+  const Scenario one{"", {Fault::none}, true, ServerState::up, 200, 0, 0};
+  const auto sound = throughFeatures(one);
+  CHECK(sound.status == 200 && sound.body.find(R"("numberMatched":2)") != std::string::npos);
+  CHECK(sound.body.find(R"("partial":false)") != std::string::npos);
+  const auto first = throughFeatures(one, {}, "/collections/branches/items?limit=1");
+  CHECK(first.body.find(R"("id":"a")") != std::string::npos &&
+        first.body.find(R"("id":"b")") == std::string::npos);
+  CHECK(first.body.find("limit=1&offset=1\",\"rel\":\"next\"") != std::string::npos);
+  const auto second = throughFeatures(one, {}, "/collections/branches/items?limit=1&offset=1");
+  CHECK(second.body.find(R"("id":"b")") != std::string::npos &&
+        second.body.find("\"next\"") == std::string::npos);
+  FeatureSpeaker cut, loop, away, broken;
+  cut.cutSecond = true;  // the first page is in, the second breaks off: the part is not delivered
+  loop.second = R"({"type":"FeatureCollection","features":[],"links":[{"rel":"next","href":"?page=2"}]})";
+  away.next = "http://127.0.0.1:1/collections/branches/items";
+  broken.second = R"({"type":"FeatureCollection","features":[)";
+  for (const auto& speaker : {cut, loop, away, broken}) {
+    const auto seen = throughFeatures(one, speaker);
+    CHECK(seen.status == 503 && !seen.retryAfter.empty());
+    CHECK(seen.body.find("\"a\"") == std::string::npos);
+  }
+}
+
+void resources() {
+  const Scenario one{"", {Fault::none}, true, ServerState::up, 200, 0, 0};
+  const auto status = [&](const std::string& target) { return throughFeatures(one, {}, target).status; };
+  for (const auto* page : {"/", "/api", "/conformance", "/collections", "/collections/branches",
+                           "/collections/branches/items?bbox=36,-2,37,-1", "/collections/branches/items/b"})
+    CHECK(status(page) == 200);
+  for (const auto* page : {"/x", "/collections/none", "/collections/none/items",
+                           "/collections/branches/items/none", "/collections/branches/items/b/c"})
+    CHECK(status(page) == 404);
+  for (const auto* page :
+       {"/?x=1", "/collections/branches/items?limit=0", "/collections/branches/items?bbox=1",
+        "/collections/branches/items?colour=red", "/collections/branches/items/b?limit=1"})
+    CHECK(status(page) == 400);
+}
+
+}  // namespace
+}  // namespace topazweir::test
+
+int main() {
+  topazweir::test::sameFaultsThroughBothFronts();
+  topazweir::test::pages();
+  topazweir::test::resources();
+}
--- /dev/null
+++ b/tests/stand_in.hpp
@@ -0,0 +1,155 @@
+// Small stand-ins for the outside: a server with a fault to show, and a client that notes what it is told.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Observer.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/connection.hpp"
+#include "platform/frames.hpp"
+#include "platform/http.hpp"
+
+namespace topazweir::test {
+
+enum class Fault { none, silent, cutHalfway, rejects, errs, slow };
+
+// What a kind of server says: takes one request off the input and returns the reply to it.
+struct Speaker {
+  virtual ~Speaker() = default;
+  virtual std::optional<std::string> reply(std::string& input, Fault fault) = 0;
+};
+
+class StandIn : net::Connection::Owner {
+ public:
+  StandIn(net::Loop& loop, Speaker& speaker, Fault fault)
+      : loop_(loop), speaker_(speaker), fault_(fault), listener_(Poco::Net::SocketAddress("127.0.0.1", 0)) {
+    listener_.setBlocking(false);
+    loop_.addEventHandler(listener_, observer());
+  }
+  ~StandIn() override { loop_.removeEventHandler(listener_, observer()); }
+  std::string address() const { return listener_.address().toString(); }
+  Fault& fault() { return fault_; }
+  int requests() const { return requests_; }
+
+ private:
+  static constexpr Nanos kSlow = 300'000'000;
+  Poco::Observer<StandIn, Poco::Net::ReadableNotification> observer() { return {*this, &StandIn::onAccept}; }
+  void onAccept(Poco::Net::ReadableNotification* event) {
+    event->release();
+    auto connection = net::Connection::adopt(loop_, listener_.acceptConnection(), *this);
+    connections_[connection.get()] = connection;
+  }
+  void onData(net::Connection& c) override {
+    while (const auto reply = speaker_.reply(c.input(), fault_)) {
+      ++requests_;
+      const auto self = connections_.at(&c);
+      if (fault_ == Fault::silent) continue;
+      if (fault_ == Fault::cutHalfway) {
+        c.write(reply->substr(0, reply->size() / 2));
+        c.close();
+        connections_.erase(&c);
+        return;
+      }
+      const Nanos wait = fault_ == Fault::slow ? kSlow : 0;
+      loop_.after(wait, [self, text = *reply] { self->write(text); });
+    }
+  }
+  void onEnd(net::Connection& c, net::ConnectionEnd) override { connections_.erase(&c); }
+
+  net::Loop& loop_;
+  Speaker& speaker_;
+  Fault fault_;
+  Poco::Net::ServerSocket listener_;
+  std::map<net::Connection*, std::shared_ptr<net::Connection>> connections_;
+  int requests_ = 0;
+};
+
+struct NodeSpeaker : Speaker {
+  std::optional<std::string> reply(std::string& input, Fault fault) override {
+    while (const auto read = platform::readFrame(input).frame) {
+      const std::string rest(read->rest);
+      const char letter = read->letter;
+      input.erase(0, read->size);
+      if (letter != 'S') continue;
+      const char* end = fault == Fault::rejects ? "full" : fault == Fault::errs ? "failed" : "done";
+      const std::string body = "R" + rest.substr(0, rest.find(' ')) + " " + end + " 7 -\nvalue";
+      return std::string("\0\0\0", 3) + static_cast<char>(body.size()) + body;
+    }
+    return std::nullopt;
+  }
+};
+
+inline std::string httpReply(int status, const std::string& body) {
+  const http::Response response{status, "application/geo+json", body, {}};
+  return http::writeHead(response, false) + body;
+}
+
+// Two pages; the second one's target holds "page=2".
+struct FeatureSpeaker : Speaker {
+  std::string next = "/collections/branches/items?page=2";  // of the first page
+  std::string second = R"({"type":"FeatureCollection","features":[{"type":"Feature","id":"b"}]})";
+  bool cutSecond = false;
+
+  std::optional<std::string> reply(std::string& input, Fault fault) override {
+    http::Parser parser(http::Side::request);
+    if (parser.parse(input) != http::Parser::Progress::complete) return std::nullopt;
+    const std::string target(parser.head(input).target);
+    parser.next(input);
+    if (fault == Fault::rejects) return httpReply(503, "");
+    if (fault == Fault::errs) return httpReply(500, "");
+    if (target.find("/items?") == std::string::npos)
+      return target.find("/items/b") != std::string::npos ? httpReply(200, R"({"type":"Feature","id":"b"})")
+                                                          : httpReply(404, "");
+    if (target.find("page=2") != std::string::npos) {
+      if (!cutSecond) return httpReply(200, second);
+      return "HTTP/1.1 200 OK\r\nContent-Length: 500\r\nConnection: close\r\n\r\n{\"type\":";
+    }
+    const std::string link = next.empty() ? "" : R"(,"links":[{"rel":"next","href":")" + next + R"("}])";
+    return httpReply(
+        200, R"({"type":"FeatureCollection")" + link + R"(,"features":[{"type":"Feature","id":"a"}]})");
+  }
+};
+
+// Sends one request and ends the loop with its answer.
+class Client : net::Connection::Owner {
+ public:
+  Client(net::Loop& loop, const std::string& address, std::string request)
+      : loop_(loop), request_(std::move(request)), startedAt_(loop.now()) {
+    connection_ = net::Connection::connect(loop, Poco::Net::SocketAddress(address), 1'000'000'000, *this);
+  }
+  bool done() const { return done_; }
+  int status = 0;  // 0: the connection ended without a whole answer
+  std::string body, retryAfter;
+  Nanos took = 0;
+
+ private:
+  void onUp(net::Connection& c) override { c.write(request_); }
+  void onData(net::Connection& c) override {
+    if (parser_.parse(c.input()) != http::Parser::Progress::complete) return;
+    const auto head = parser_.head(c.input());
+    status = head.status;
+    retryAfter = head.field("Retry-After").value_or("");
+    body = parser_.body(c.input());
+    finish();
+  }
+  void onEnd(net::Connection&, net::ConnectionEnd) override { finish(); }
+  void finish() {
+    if (std::exchange(done_, true)) return;
+    took = loop_.now() - startedAt_;
+    connection_->close();
+    loop_.stop();
+  }
+
+  net::Loop& loop_;
+  std::string request_;
+  Nanos startedAt_;
+  http::Parser parser_{http::Side::response};
+  std::shared_ptr<net::Connection> connection_;
+  bool done_ = false;
+};
+
+}  // namespace topazweir::test
