--- a/src/broker/counters.cpp
+++ b/src/broker/counters.cpp
@@ -16,6 +16,7 @@
     const auto of = [&](const char* name) { return std::string(name) + "{tenant=" + t.name + "}"; };
     add(of("taken"), t.taken), add(of("answered"), t.answered), add(of("refused"), t.refused);
     add(of("failed"), t.failed), add(of("over_quota"), t.overQuota);
+    add(of("further_attempts"), t.furtherAttempts);
   }
   return out;
 }
--- a/src/broker/counters.hpp
+++ b/src/broker/counters.hpp
@@ -10,7 +10,7 @@
 
 struct TenantCounters {
   std::string name;
-  std::uint64_t taken = 0, answered = 0, refused = 0, failed = 0, overQuota = 0;
+  std::uint64_t taken = 0, answered = 0, refused = 0, failed = 0, overQuota = 0, furtherAttempts = 0;
 };
 
 struct Counters {
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -17,7 +17,11 @@
     return attempt;
   }
   const Nanos left = open->due - now;
-  if (attempt.attempt > 0) ++counters_.furtherAttempts;
+  if (attempt.attempt > 0) {
+    ++counters_.furtherAttempts;
+    const auto tenant = static_cast<std::size_t>(open->request.tenant);
+    if (tenant < counters_.tenants.size()) ++counters_.tenants[tenant].furtherAttempts;
+  }
   ++counters_.sent;
   backend_.start(AttemptOrder{attempt, order.server, open->request.id + '.' + std::to_string(part.shard),
                               part.shard, open->query,
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "platform/discovery.hpp"
 #include "platform/front.hpp"
 #include "platform/node_pool.hpp"
+#include "snmp/agent.hpp"
 
 namespace {
 
@@ -35,7 +36,7 @@
 
 class Program {
  public:
-  Program(topazweir::config::Config config, std::string featuresFile)
+  Program(topazweir::config::Config config, std::string featuresFile, const std::string& snmpFile)
       : config_(std::move(config)),
         featuresFile_(std::move(featuresFile)),
         log_([](std::string_view line) { std::cerr << line << std::flush; }, [this] { return loop_.now(); }),
@@ -58,6 +59,9 @@
                                                     config_.sockets / 2},
                    broker_, [this] { return counters(); });
     if (!featuresFile_.empty()) features_.emplace(loop_, log_, readFeatures());
+    if (!snmpFile.empty())
+      snmp_.emplace(loop_, log_, topazweir::config::readSnmp(topazweir::config::readFile(snmpFile)),
+                    [this] { return topazweir::snmp::take(broker_, nodeRows()); });
     log_.line("started", config_.name + " listen=" + config_.listen);
     watchSignals();
   }
@@ -104,6 +108,14 @@
     pool_.listChanged();
   }
 
+  std::vector<topazweir::snmp::NodeRow> nodeRows() const {
+    std::vector<topazweir::snmp::NodeRow> rows;
+    for (const auto& [id, node] : directory_.all())
+      rows.push_back({static_cast<long>(id), node.entry.instance, node.entry.state, node.entry.cell,
+                      node.entry.startedAt});
+    return rows;
+  }
+
   std::string counters() {
     std::string out = print(broker_.counters()) + "open " + std::to_string(broker_.open()) + "\nheld " +
                       std::to_string(broker_.held()) + "\nnode_connections " +
@@ -157,6 +169,7 @@
   std::optional<topazweir::platform::Discovery> discovery_;
   std::optional<topazweir::platform::PlatformFront> front_;
   std::optional<topazweir::features::Side> features_;
+  std::optional<topazweir::snmp::Agent> snmp_;
   std::int64_t generation_ = 0;
   bool ending_ = false;
 };
@@ -166,7 +179,7 @@
   return value ? value : "";
 }
 
-// Options: --features FILE switches the OGC front on.
+// Options: --features FILE switches the OGC front on, --snmp FILE the SNMP agent.
 std::string option(int count, char** words, std::string_view name) {
   for (int i = 1; i + 1 < count; ++i)
     if (words[i] == name) return words[i + 1];
@@ -183,7 +196,7 @@
     if (path.empty()) throw topazweir::config::ConfigError("NODE_CONFIG is not set");
     auto config = topazweir::config::read(topazweir::config::readFile(path));
     if (const auto listen = environment("NODE_LISTEN"); !listen.empty()) config.listen = listen;
-    Program(std::move(config), option(count, words, "--features")).run();
+    Program(std::move(config), option(count, words, "--features"), option(count, words, "--snmp")).run();
   } catch (const Poco::Exception& error) {
     std::cerr << "topazweir: " << error.displayText() << '\n';
     return 1;
--- /dev/null
+++ b/src/snmp/snapshot.cpp
@@ -0,0 +1,64 @@
+#include "snmp/snapshot.hpp"
+
+#include <algorithm>
+#include <initializer_list>
+
+namespace topazweir::snmp {
+
+namespace {
+
+enum Object : unsigned long { kScalars = 1, kEnds = 2, kTenants = 3, kNodes = 4 };
+
+Gauge gauge(double value) { return {static_cast<std::uint32_t>(std::clamp(value, 0.0, 4294967295.0))}; }
+Gauge gauge(std::size_t value) { return gauge(static_cast<double>(value)); }
+
+class Writer {
+ public:
+  explicit Writer(Snapshot& out) : out_(out) {}
+  void scalar(unsigned long number, Value value) { put({kScalars, number, 0}, std::move(value)); }
+  // A row's columns are numbered from 2: column 1 is the index.
+  void row(Object table, std::size_t index, std::initializer_list<Value> columns) {
+    unsigned long column = 2;
+    for (const auto& value : columns) put({table, 1, column++, index}, value);
+  }
+
+ private:
+  void put(std::initializer_list<unsigned long> tail, Value value) {
+    Oid id = kRoot;
+    id.push_back(1);
+    id.insert(id.end(), tail);
+    out_.emplace(std::move(id), std::move(value));
+  }
+  Snapshot& out_;
+};
+
+}  // namespace
+
+Snapshot take(const broker::Broker& broker, const std::vector<NodeRow>& nodes) {
+  Snapshot out;
+  Writer writer(out);
+  const auto& c = broker.counters();
+  unsigned long number = 0;
+  for (const auto value : {c.taken, c.turnedAway, c.invalid, c.answered, c.answeredPartial, c.refused,
+                           c.failed, c.abandoned, c.sent, c.furtherAttempts})
+    writer.scalar(++number, Counter{value});
+  for (const auto value : {broker.open(), broker.held(), broker.terms().maxOpen})
+    writer.scalar(++number, gauge(value));
+  for (std::size_t i = 0; i < c.ends.size(); ++i)
+    writer.row(kEnds, i + 1, {std::string(broker::kOutcomeNames[i]), Counter{c.ends[i]}});
+  for (std::size_t i = 0; i < c.tenants.size(); ++i) {
+    const auto& t = c.tenants[i];
+    const auto& contract = broker.terms().contracts[i];
+    writer.row(kTenants, i + 1,
+               {t.name, gauge(contract.share * 1000), gauge(contract.quotaPerS * 1000), gauge(broker.rate(i)),
+                Counter{t.taken}, Counter{t.answered}, Counter{t.refused}, Counter{t.failed},
+                Counter{t.overQuota}, Counter{t.furtherAttempts}});
+  }
+  for (const auto& node : nodes)
+    writer.row(kNodes, static_cast<std::size_t>(node.index),
+               {node.name, static_cast<std::int32_t>(node.state) + 1, static_cast<std::int32_t>(node.cell),
+                gauge(static_cast<double>(node.startedAt) / 1e9)});
+  return out;
+}
+
+}  // namespace topazweir::snmp
--- /dev/null
+++ b/tests/snmp_test.cpp
@@ -0,0 +1,122 @@
+// The agent over loopback, asked by net-snmp's client as a manager would: GET, and a walk through all rows.
+// In the order that net-snmp asks for.
+// clang-format off
+#include <net-snmp/net-snmp-config.h>
+#include <net-snmp/net-snmp-includes.h>
+// clang-format on
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+#include "check.hpp"
+#include "net/loop_clock.hpp"
+#include "snmp/agent.hpp"
+
+namespace topazweir::test {
+namespace {
+
+struct NoBackend : broker::Backend {
+  void start(broker::AttemptOrder) override {}
+  void cancel(const broker::AttemptId&) override {}
+};
+
+// A port that was free a moment ago: the library cannot tell which one it was given.
+std::string freeAddress() {
+  return Poco::Net::DatagramSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().toString();
+}
+
+class Manager {
+ public:
+  Manager(const std::string& peer, const std::string& community) {
+    netsnmp_session session;
+    snmp_sess_init(&session);
+    std::string address = peer, name = community;
+    session.version = SNMP_VERSION_2c;
+    session.peername = address.data();
+    session.community = reinterpret_cast<u_char*>(name.data());
+    session.community_len = name.size();
+    session.retries = 0;
+    session.timeout = 2'000'000;
+    handle_ = snmp_sess_open(&session);
+    CHECK(handle_);
+  }
+  ~Manager() { snmp_sess_close(handle_); }
+  // The first variable of the reply; none when there is no reply or an error.
+  std::optional<std::pair<snmp::Oid, std::string>> ask(int kind, const snmp::Oid& id) {
+    auto* pdu = snmp_pdu_create(kind);
+    if (kind == SNMP_MSG_GETBULK) pdu->non_repeaters = 0, pdu->max_repetitions = 1;
+    snmp_add_null_var(pdu, id.data(), id.size());
+    netsnmp_pdu* reply = nullptr;
+    const int status = snmp_sess_synch_response(handle_, pdu, &reply);
+    std::optional<std::pair<snmp::Oid, std::string>> out;
+    if (status == STAT_SUCCESS && reply->errstat == SNMP_ERR_NOERROR && reply->variables) {
+      const auto& v = *reply->variables;
+      std::string text = "?";
+      if (v.type == ASN_COUNTER64) text = std::to_string(v.val.counter64->high << 32 | v.val.counter64->low);
+      if (v.type == ASN_GAUGE || v.type == ASN_INTEGER) text = std::to_string(*v.val.integer);
+      if (v.type == ASN_OCTET_STR) text.assign(reinterpret_cast<char*>(v.val.string), v.val_len);
+      const bool value = v.type < SNMP_NOSUCHOBJECT;
+      if (value) out.emplace(snmp::Oid(v.name, v.name + v.name_length), text);
+    }
+    if (reply) snmp_free_pdu(reply);
+    return out;
+  }
+
+ private:
+  void* handle_;
+};
+
+void run() {
+  net::Loop loop;
+  broker::Log log([](std::string_view) {}, [&] { return loop.now(); });
+  broker::Terms terms;
+  terms.settings.classes = {QueryClass{.name = "a", .aim = 1, .deadline = 2}};
+  terms.settings.shards = 1;
+  terms.contracts = {{"coast", 0.27, 3}, {"rift", 0.16, 2}};
+  terms.maxOpen = 75;
+  NoBackend backend;
+  net::LoopClock clock(loop, [] {});
+  const broker::Broker broker(terms, clock, backend, log);
+  const config::Snmp config{freeAddress(), "secret"};
+  const auto take = [&] { return snmp::take(broker, {{1, "s-1", ServerState::draining, 3, 5'000'000'000}}); };
+  snmp::Agent agent(loop, log, config, take);
+  std::atomic<bool> done = false;
+  std::thread asker([&] {
+    const auto at = [](std::initializer_list<unsigned long> tail) {
+      auto id = snmp::kRoot;
+      id.insert(id.end(), tail);
+      return id;
+    };
+    Manager manager(config.listen, "secret");
+    CHECK(manager.ask(SNMP_MSG_GET, at({1, 1, 13, 0}))->second == "75");
+    CHECK(manager.ask(SNMP_MSG_GET, at({1, 3, 1, 2, 2}))->second == "rift");
+    CHECK(manager.ask(SNMP_MSG_GET, at({1, 4, 1, 3, 1}))->second == "2");
+    CHECK(!manager.ask(SNMP_MSG_GET, at({1, 1, 99, 0})));
+    CHECK(!manager.ask(SNMP_MSG_SET, at({1, 1, 13, 0})));  // read-only
+    const auto all = take();
+    for (const int kind : {SNMP_MSG_GETNEXT, SNMP_MSG_GETBULK}) {
+      auto id = snmp::kRoot;
+      for (const auto& [expected, value] : all) {
+        const auto next = manager.ask(kind, id);
+        CHECK(next && next->first == expected);
+        id = next->first;
+      }
+      const auto behind = manager.ask(kind, id);  // the walk leaves the module
+      CHECK(!behind || !std::equal(snmp::kRoot.begin(), snmp::kRoot.end(), behind->first.begin()));
+    }
+    CHECK(!Manager(config.listen, "guess").ask(SNMP_MSG_GET, at({1, 1, 13, 0})));
+    done = true;
+    loop.stop();
+  });
+  loop.run();
+  asker.join();
+  CHECK(done);
+}
+
+}  // namespace
+}  // namespace topazweir::test
+
+int main() { topazweir::test::run(); }
