Test the core on a virtual clock; a client lost while being accepted ends alone

broker_test: one final answer in time under silence and under failures at once, drains, the held limit, quotas, senseless requests, the log's rate limit. Server::accept: adopting a connection that its client has already reset may throw; it now ends that connection only, inside the same guard as the accept itself.

--- a/src/platform/http_server.cpp
+++ b/src/platform/http_server.cpp
@@ -47,15 +47,14 @@
     // At the limit the client that has been idle for longest goes. With none idle the backlog waits: the
     // program must not run out of descriptors.
     if (clients_.size() >= options_.mostConnections && !makeRoom()) return listen(false);
-    Poco::Net::StreamSocket socket;
+    std::shared_ptr<net::Connection> connection;
     try {
       if (!listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
-      socket = listener_.acceptConnection();
+      connection = net::Connection::adopt(loop_, listener_.acceptConnection(), *this);
     } catch (const Poco::Exception& error) {  // the client left meanwhile, or no descriptor was left
       log_.line("http.accept_failed", options_.name + " " + error.displayText());
       return;
     }
-    auto connection = net::Connection::adopt(loop_, socket, *this);
     Client& client = clients_[connection.get()];
     client.connection = std::move(connection);
     client.lastActive = loop_.now();
--- /dev/null
+++ b/tests/broker_test.cpp
@@ -0,0 +1,189 @@
+// The core on a virtual clock, with a backend that does as it is told: no socket, no wire.
+#include "broker/broker.hpp"
+
+#include <algorithm>
+#include <map>
+
+#include "check.hpp"
+
+namespace topazweir::test {
+namespace {
+
+constexpr Nanos kMs = 1'000'000;
+
+struct World : broker::Clock, broker::Backend, broker::Front {
+  explicit World(broker::Terms terms) : core(std::move(terms), *this, *this, log) {
+    ListNews list;
+    for (ServerId id = 1; id <= 2; ++id) list.entries.push_back({.server = id});
+    core.told(list);
+  }
+  Nanos now() const override { return time; }
+  void wakeAt(Nanos at) override { wakes.insert({at, 0}); }
+  void start(broker::AttemptOrder order) override {
+    if (end) return core.attemptEnded(order.id, *end, "value");  // from within the module's turn
+    orders.push_back(order);
+  }
+  void cancel(const broker::AttemptId& id) override { cancelled.push_back(id); }
+  void finish(broker::RequestNo no, broker::FinalAnswer answer) override {
+    finals[no].push_back({time, answer});
+  }
+
+  void pass(Nanos span) {
+    for (const Nanos until = time + span; !wakes.empty() && wakes.begin()->first <= until;) {
+      time = std::max(time, wakes.begin()->first);
+      wakes.erase(wakes.begin());
+      core.wake();
+    }
+  }
+  broker::Request request(const std::string& id, int tenant = 0) const {
+    return {id, 0, tenant, 1000 * kMs, false, {{0, 0.5}, {1, 0.5}}, "text"};
+  }
+  broker::RequestNo take(const broker::Request& r) {
+    const auto no = std::get<broker::RequestNo>(core.take(r, *this));
+    core.begin(no);
+    return no;
+  }
+  bool invalid(const broker::Request& r) {
+    return std::holds_alternative<broker::Invalid>(core.take(r, *this));
+  }
+
+  Nanos time = 1'000'000 * kMs;
+  std::multimap<Nanos, int> wakes;
+  std::vector<broker::AttemptOrder> orders;
+  std::vector<broker::AttemptId> cancelled;
+  std::map<broker::RequestNo, std::vector<std::pair<Nanos, broker::FinalAnswer>>> finals;
+  std::optional<Outcome> end;
+  std::string lines;
+  broker::Log log{[this](std::string_view line) { lines += line; }, [this] { return time; }};
+  broker::Broker core;
+};
+
+broker::Terms terms() {
+  broker::Terms t;
+  t.settings.seed = 3;
+  t.settings.tick = 5 * kMs;
+  t.settings.shards = 2;
+  t.settings.maxAttempts = 4;
+  t.settings.secondCopies = t.settings.cancelling = t.settings.retryAfter = true;
+  t.settings.maxRetryAfter = 2000 * kMs;
+  t.settings.classes = {
+      QueryClass{.name = "a", .aim = 500 * kMs, .deadline = 1000 * kMs, .lateWorth = 0.3, .floor = 0.5}};
+  t.contracts = {{"coast", 0.6, 2}, {"rift", 0.4, 0}};
+  t.longestDeadline = 5000 * kMs;
+  t.maxOpen = 9;
+  return t;
+}
+
+void answersWithWhatCameIn() {
+  World w(terms());
+  const auto no = w.take(w.request("q"));
+  CHECK(w.orders.size() >= 2 && w.orders[0].partId.substr(0, 2) == "q.");
+  const auto orders = w.orders;
+  for (const auto& order : orders)
+    w.core.attemptEnded(order.id, Outcome::delivered, "v" + std::to_string(order.shard));
+  CHECK(w.finals[no].size() == 1);
+  const auto& answer = w.finals[no][0].second;
+  CHECK(answer.verdict == broker::Verdict::answered && answer.whole && answer.results.size() == 2);
+  for (const auto& r : answer.results) CHECK(r.value == "v" + std::to_string(r.shard));
+  w.core.attemptEnded(orders[0].id, Outcome::delivered, "late");  // after the end: nothing happens
+  CHECK(w.finals[no].size() == 1 && w.core.open() == 0);
+}
+
+// Nothing comes back: one final answer before the client's time is up, all attempts called off.
+void silenceEndsInTime() {
+  World w(terms());
+  const auto no = w.take(w.request("q"));
+  const Nanos taken = w.time;
+  w.pass(3000 * kMs);
+  CHECK(w.finals[no].size() == 1 && w.finals[no][0].first <= taken + 1000 * kMs);
+  CHECK(w.finals[no][0].second.verdict == broker::Verdict::refused && w.finals[no][0].second.retryAfter > 0);
+  CHECK(w.core.counters().sent <= 8);
+  for (const auto& order : w.orders)
+    CHECK(std::find(w.cancelled.begin(), w.cancelled.end(), order.id) != w.cancelled.end());
+}
+
+// Every attempt fails from within its start: no turn within a turn, four attempts a part at most.
+void failuresAtOnce() {
+  for (const auto end : {Outcome::error, Outcome::rejected, Outcome::connectFailed, Outcome::reset}) {
+    World w(terms());
+    w.end = end;
+    const auto no = w.take(w.request("q"));
+    w.pass(3000 * kMs);
+    CHECK(w.finals[no].size() == 1 && w.finals[no][0].second.verdict == broker::Verdict::refused);
+    const auto& c = w.core.counters();
+    CHECK(c.sent >= 1 && c.sent <= 8 && c.ends[static_cast<std::size_t>(end)] == c.sent);
+  }
+}
+
+void drainedServersGetNothing() {
+  World w(terms());
+  ListNews news;
+  news.scope = ListNews::Scope::changes;
+  for (ServerId id = 1; id <= 2; ++id) news.entries.push_back({.server = id, .state = ServerState::draining});
+  w.core.told(news);
+  const auto no = w.take(w.request("q"));
+  CHECK(w.orders.empty() && w.finals[no].size() == 1);  // given up at once, and so answered at once
+  CHECK(w.finals[no][0].second.verdict == broker::Verdict::refused && w.finals[no][0].second.retryAfter > 0);
+}
+
+void holdsNoMoreThanAgreed() {
+  World w(terms());
+  for (const auto* id : {"a", "b", "c"}) w.take(w.request(id));
+  CHECK(w.core.held() == 9);
+  const auto no = w.take(w.request("d"));
+  CHECK(w.finals[no].size() == 1 && w.finals[no][0].second.verdict == broker::Verdict::refused);
+  CHECK(w.core.counters().turnedAway == 1 && w.core.held() == 9);
+  CHECK(w.core.counters().tenants[0].taken == 4 && w.core.counters().tenants[0].overQuota == 2);
+}
+
+void clientLeaves() {
+  World w(terms());
+  const auto no = w.take(w.request("q"));
+  w.core.abandon(no);
+  CHECK(w.core.open() == 0 && w.cancelled.size() == w.orders.size());
+  w.pass(3000 * kMs);
+  CHECK(w.finals.empty() && w.core.counters().abandoned == 1);
+}
+
+void senselessRequests() {
+  World w(terms());
+  const auto odd = [&](auto change) {
+    auto r = w.request("q");
+    change(r);
+    return w.invalid(r);
+  };
+  CHECK(odd([](auto& r) { r.queryClass = 1; }) && odd([](auto& r) { r.tenant = 7; }));
+  CHECK(odd([](auto& r) { r.timeLeft = 0; }) && odd([](auto& r) { r.timeLeft = 6000 * kMs; }));
+  CHECK(odd([](auto& r) { r.parts.clear(); }) && odd([](auto& r) { r.parts[1].shard = 0; }));
+  CHECK(odd([](auto& r) { r.parts[0].shard = 2; }) && odd([](auto& r) { r.parts[0].weight = 0.9; }));
+  CHECK(odd([](auto& r) { r.id = "a b"; }) && odd([](auto& r) { r.id = ""; }));
+  w.take(w.request("q"));
+  CHECK(w.invalid(w.request("q")));  // its id is open
+  CHECK(w.core.counters().invalid == 11 && w.core.open() == 1);
+}
+
+void logIsRateLimited() {
+  Nanos now = 0;
+  std::string out;
+  broker::Log log([&](std::string_view line) { out += line; }, [&] { return now; });
+  for (int i = 0; i < 100; ++i) log.line("x", "text\nforged");
+  CHECK(std::count(out.begin(), out.end(), '\n') == broker::Log::kMostPerSecond);
+  now = 2'000'000'000;
+  log.line("x", "");
+  CHECK(out.find("x suppressed=95\nx\n") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace topazweir::test
+
+int main() {
+  using namespace topazweir::test;
+  answersWithWhatCameIn();
+  silenceEndsInTime();
+  failuresAtOnce();
+  drainedServersGetNothing();
+  holdsNoMoreThanAgreed();
+  clientLeaves();
+  senselessRequests();
+  logIsRateLimited();
+}
