--- a/tests/stand_in.hpp
+++ b/tests/stand_in.hpp
@@ -125,6 +125,7 @@
   int status = 0;  // 0: the connection ended without a whole answer
   std::string body, retryAfter;
   Nanos took = 0;
+  bool stopsLoop = true;
 
  private:
   void onUp(net::Connection& c) override { c.write(request_); }
@@ -141,7 +142,7 @@
     if (std::exchange(done_, true)) return;
     took = loop_.now() - startedAt_;
     connection_->close();
-    loop_.stop();
+    if (stopsLoop) loop_.stop();
   }
 
   net::Loop& loop_;
