--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,96 @@
+// Configuration: defaults, and faults that name their key.
+#include <string>
+
+#include "check.hpp"
+#include "config/features_config.hpp"
+#include "config/snmp_config.hpp"
+
+namespace topazweir::test {
+namespace {
+
+const std::string kGood =
+    R"({"listen":"127.0.0.1:80","discovery":"127.0.0.1:81","seed":"8c1f30d27a5be964","limits":{"sockets":512},)"
+    R"("settings":{"familyInfo":{"slabs":24,"sets":12,"reach":3,"minShare":[0.8]},"limits":{"maxAttempts":4},)"
+    R"("realms":[{"name":"coast","share":0.27,"quotaPerS":2}],)"
+    R"("profiles":[{"name":"wide","aimNs":3000000000,"deadlineNs":6000000000}]}})";
+
+const std::string kFeatures =
+    R"({"listen":"127.0.0.1:82","collections":[{"id":"branches"}],"deadlineMs":1000,)"
+    R"("groups":[{"name":"g","servers":[{"address":"127.0.0.1:90","state":"draining"}]}]})";
+
+std::string changed(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  CHECK(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+template <class Read>
+std::string fault(Read read) {
+  try {
+    read();
+  } catch (const config::ConfigError& error) {
+    return error.what();
+  }
+  return "none";
+}
+
+void platform() {
+  const auto config = config::read(kGood);
+  CHECK(config.sockets == 512 && config.terms.settings.seed == 0x8c1f30d27a5be964ULL);
+  CHECK(config.terms.settings.classes[0].floor == 0.8 && config.terms.settings.classes[0].need == 1);
+  CHECK(config.terms.contracts[0].quotaPerS == 2 && config.connectTimeout == 250'000'000);
+  const struct {
+    std::string from, to, names;
+  } faults[] = {
+      {R"("listen":"127.0.0.1:80",)", "", "key listen: missing"},
+      {"127.0.0.1:80", "host:80", "key listen: "},
+      {"127.0.0.1:81", "127.0.0.1:99999", "key discovery: "},
+      {"8c1f30d27a5be964", "xyz", "key seed: "},
+      {R"("sockets":512)", R"("sockets":"many")", "key limits.sockets: not a whole number"},
+      {R"("slabs":24)", R"("slabs":0)", "key settings.familyInfo.slabs: "},
+      {R"("maxAttempts":4)", R"("maxAttempts":0)", "key settings.limits.maxAttempts: "},
+      {R"("share":0.27)", R"("share":7)", "key settings.realms.0.share: "},
+      {R"("aimNs":3000000000,)", "", "key settings.profiles.0.aimNs: missing"},
+      {R"("name":"wide")", R"("name":"wide","semantics":"odd")", "key settings.profiles.0.semantics: "},
+      {"[0.8]", "[7]", "key settings.: "},
+      {R"("settings":)", R"("other":)", "key settings: "},
+  };
+  for (const auto& f : faults) {
+    const auto said = fault([&] { config::read(changed(kGood, f.from, f.to)); });
+    if (said.rfind(f.names, 0) != 0) std::fprintf(stderr, "%s\n", said.c_str());
+    CHECK(said.rfind(f.names, 0) == 0);
+  }
+  for (std::size_t cut = 0; cut < kGood.size(); ++cut)
+    CHECK(fault([&] { config::read(kGood.substr(0, cut)); }) != "none");
+}
+
+void features() {
+  const auto platform = config::read(kGood);
+  const auto read = [&](const std::string& text) { return config::readFeatures(text, platform); };
+  const auto config = read(kFeatures);
+  CHECK(config.terms.settings.shards == 1 && config.terms.settings.classes.size() == 2);
+  CHECK(config.groups[0].servers[0].state == ServerState::draining && config.deadline == 1'000'000'000);
+  const auto said = [&](const std::string& from, const std::string& to) {
+    return fault([&] { read(changed(kFeatures, from, to)); });
+  };
+  CHECK(said("branches", "a/b").rfind("key features.collections.0.id: ", 0) == 0);
+  CHECK(said("127.0.0.1:90", "x").rfind("key features.groups.0.servers.0.address: ", 0) == 0);
+  CHECK(said("draining", "odd").rfind("key features.groups.0.servers.0.state: ", 0) == 0);
+  CHECK(said("1000", "0").rfind("key features.deadlineMs: ", 0) == 0);
+  CHECK(said("groups", "other").rfind("key features.groups: ", 0) == 0);
+}
+
+void snmp() {
+  CHECK(config::readSnmp("{}").listen == "127.0.0.1:1161");
+  CHECK(fault([] { config::readSnmp(R"({"listen":"10.0.0.1:161"})"); }).rfind("key snmp.listen: ", 0) == 0);
+  CHECK(fault([] { config::readSnmp(R"({"community":"a b"})"); }).rfind("key snmp.community: ", 0) == 0);
+}
+
+}  // namespace
+}  // namespace topazweir::test
+
+int main() {
+  topazweir::test::platform();
+  topazweir::test::features();
+  topazweir::test::snmp();
+}
