Wake the module for the last moments before the aim and the client's end

Probe: a module woken only by its own timers answered a part-query at 990.0 ms with the last moment at 982 (rules_test, fails without the change). At fault: Impl::run, whose step of max(2 ticks, aim/100) may pass over aimAt - 3 ticks and due - 2 ticks.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -804,9 +804,7 @@
       const bool crowded = hearing() && r && num(r->busyUntil - now) > share * num(shortestAim);
       if (spared && (delay > aim || crowded)) q.target = weight;
       if (weight >= need(q) - kWeightSlack) break;
-      weight += part->weight;
-      slowest = delay;
-      part->wanted = true;
+      weight += part->weight, slowest = delay, part->wanted = true;
     }
     if (q.step == 1) {
       const bool wide = q.parts.size() > 1 && kWide * num(servers.size()) < num(q.parts.size());
@@ -975,8 +973,10 @@
     if (askAt >= 0 && now >= askAt) actions.push_back(Subscribe{true}), askAt = -1;
     tellPeers();
     const bool busy = !queries.empty();
-    const Nanos step = std::max<Nanos>(2 * set.tick, shortestAim / 100);
-    const Nanos wait = std::max<Nanos>(1, busy ? step : askAt - now);
+    Nanos wait = std::max<Nanos>(1, busy ? std::max<Nanos>(2 * set.tick, shortestAim / 100) : askAt - now);
+    for (const auto& [number, q] : queries)  // the last moments to answer must not fall between two steps
+      for (const Nanos at : {q.aimAt - kLastTicks * set.tick, q.due - 2 * set.tick})
+        if (at > now) wait = std::min(wait, at - now);
     if ((!busy && askAt < 0) || (timerAt > now && timerAt <= now + wait)) return;
     actions.push_back(SetTimer{turn, wait});
     timerAt = now + wait;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -670,5 +670,38 @@
       std::any_of(t.cancels.begin(), t.cancels.end(), [&](const Cancel& c) { return c.part == stuck; }));
 }
 
+// Guards against a step of the timer that passes over the last moment before the aim or the client's end: the
+// module is woken only when it has asked for it.
+TEST(Rules, LastMomentsAreNotMissedBetweenSteps) {
+  for (const Nanos aim : {997 * ms, 1001 * ms, 1013 * ms}) {
+    auto s = basic();
+    s.shards = 2;
+    s.classes[0].aim = aim;
+    s.classes[0].floor = 0.5;
+    s.classes[0].partialWorth = 0.8;
+    Script t(s);
+    t.servers(2);
+    const Nanos arrived = t.now;
+    std::vector<Nanos> wakes;
+    const auto note = [&](const std::vector<Action>& actions) {
+      for (const auto& a : actions)
+        if (const auto* timer = std::get_if<SetTimer>(&a)) wakes.push_back(t.now + timer->wait);
+    };
+    note(t.turn({QueryArrived{"q", 1, 0, 2 * sec, 2, false}, PartArrived{"q.0", 1, 0, 0.5},
+                 PartArrived{"q.1", 1, 1, 0.5}}));
+    t.now += ms;
+    note(t.turn({AttemptEnded{"q.0", 0, t.attempts["q.0"][0], Outcome::delivered, ms, {}}}));
+    while (t.answers.empty()) {
+      const auto next = std::min_element(wakes.begin(), wakes.end());
+      ASSERT_NE(next, wakes.end());
+      t.now = std::max(t.now, *next);
+      wakes.erase(next);
+      note(t.turn({TimerFired{0}}));
+    }
+    EXPECT_LE(t.now - arrived, aim - 3 * s.tick);
+    EXPECT_FALSE(t.answers[0].whole);
+  }
+}
+
 }  // namespace
 }  // namespace topazweir::test
