Write slow readers' answers whole before exit; let lingering connections end with the loop

Saw: server_test died of a double free when the loop went with a lingering connection (a timer holds it, and its end cancels that timer while the timers go): at an exit after SIGTERM that is a crash. At fault: Loop had no destructor of its own; Server::quiet did not count answers still being written, and closeGently cut them after 1 s. Ruled out: the parser and the reactor's observers. After: 16 MB read 1.3 s after SIGTERM arrive whole (server_test), and the loop's timers go while it is whole.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -83,10 +83,17 @@
 void Connection::closeGently() {
   if (state_ != State::up) return release();
   state_ = State::lingering;
-  const auto self = shared_from_this();  // kept by the timer until the peer has closed or time is up
-  timer_ = loop_.after(kLinger, [self] { self->release(); });
-  if (flushed()) ::shutdown(fd(), SHUT_WR);
   watch(true, writable_);
+  linger();
+}
+
+// Lasts until the peer has closed or its time is up; the timer keeps the connection. A peer that reads slowly
+// gets the time to read the whole answer.
+void Connection::linger() {
+  if (flushed()) ::shutdown(fd(), SHUT_WR);
+  loop_.cancel(timer_);
+  const auto self = shared_from_this();
+  timer_ = loop_.after(flushed() ? kLinger : kSlowPeer, [self] { self->release(); });
 }
 
 void Connection::write(std::string head, std::string body) {
@@ -148,7 +155,7 @@
     return owner_->onUp(*this);
   }
   if (!flush()) return end(ConnectionEnd::writeFailed);
-  if (state_ == State::lingering && flushed()) ::shutdown(fd(), SHUT_WR);
+  if (state_ == State::lingering && flushed()) linger();
 }
 
 bool Connection::receive() {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -56,7 +56,7 @@
 
  private:
   enum class State { connecting, up, lingering, ended };
-  static constexpr Nanos kLinger = 1'000'000'000;
+  static constexpr Nanos kLinger = 1'000'000'000, kSlowPeer = 30'000'000'000;
   static constexpr std::size_t kMostInput = 256 * 1024;  // read ahead; the socket's own buffer holds the rest
 
   Connection(Loop& loop, Poco::Net::StreamSocket socket, Owner& owner, State state)
@@ -66,6 +66,7 @@
   void onWritable(Poco::Net::WritableNotification* event);
   bool receive();
   bool flush();  // false: broken
+  void linger();
   void release();
   int fd() const { return socket_.impl()->sockfd(); }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -23,6 +23,10 @@
   offset_ = std::chrono::duration_cast<std::chrono::nanoseconds>(unix).count() - steady();
 }
 
+// What a timer holds may cancel timers as it goes, such as a connection that still lingers at the end: it
+// goes while the loop is whole.
+Loop::~Loop() { const auto last = std::exchange(timers_, {}); }
+
 Nanos Loop::now() const { return steady() + offset_; }
 
 Loop::TimerId Loop::at(Nanos when, std::function<void()> what) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -17,6 +17,7 @@
   using TimerId = std::pair<Nanos, std::uint64_t>;
 
   Loop();
+  ~Loop() override;
   // Unix time as it was at the start, carried on by the steady clock: it never goes back, and the start times
   // that lists name can be compared with it.
   Nanos now() const;
--- a/src/platform/http_server.cpp
+++ b/src/platform/http_server.cpp
@@ -4,9 +4,7 @@
 #include <Poco/Observer.h>
 #include <sys/socket.h>
 
-#include <cerrno>
-#include <cstring>
-#include <vector>
+#include <algorithm>
 
 namespace topazweir::http {
 
@@ -147,10 +145,20 @@
   const auto at = clients_.find(&connection);
   if (at == clients_.end()) return;
   if (at->second.exchange != 0) exchanges_.erase(at->second.exchange);
+  std::erase_if(closing_, [](const auto& weak) { return weak.expired(); });
+  if (!connection.ended() && !connection.flushed()) closing_.push_back(at->second.connection);
   clients_.erase(at);
   if (open_ && clients_.size() < options_.mostConnections) listen(true);
 }
 
+// Guards against an exit that cuts an answer short which its client has not read yet.
+bool Server::quiet() const {
+  return clients_.empty() && std::none_of(closing_.begin(), closing_.end(), [](const auto& weak) {
+           const auto connection = weak.lock();
+           return connection && !connection->ended() && !connection->flushed();
+         });
+}
+
 void Server::onEnd(net::Connection& connection, net::ConnectionEnd) {
   const auto at = clients_.find(&connection);
   if (at == clients_.end()) return;
--- a/src/platform/http_server.hpp
+++ b/src/platform/http_server.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "broker/log.hpp"
 #include "net/connection.hpp"
@@ -40,7 +41,7 @@
   void drain() { draining_ = true; }  // each answer from now on closes its connection
   // Closes the listener, and each connection as soon as nothing is open on it.
   void stopAccepting();
-  bool quiet() const { return clients_.empty(); }  // after stopAccepting: all has been answered and written
+  bool quiet() const;  // after stopAccepting: all has been answered and written whole
   Poco::Net::SocketAddress address() const { return listener_.address(); }
 
  private:
@@ -71,6 +72,7 @@
   net::Loop::TimerId sweepTimer_;
   std::map<net::Connection*, Client> clients_;
   std::map<ExchangeNo, net::Connection*> exchanges_;
+  std::vector<std::weak_ptr<net::Connection>> closing_;  // their answers are still being written
   ExchangeNo last_ = 0;
   bool listening_ = false, open_ = true, draining_ = false;
 };
