--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -95,6 +95,7 @@
   loop.after(300 * kMs, [&] {
     late = std::make_unique<Client>(loop, listen, query("q2"));
     state = std::make_unique<Client>(loop, listen, get("/up"));
+    late->stopsLoop = state->stopsLoop = false;
   });
   bool finished = false;
   const auto limit = loop.after(8000 * kMs, [&] { loop.stop(); });
@@ -104,7 +105,6 @@
   };
   look();
   open.stopsLoop = false;
-  loop.after(301 * kMs, [&] { late->stopsLoop = state->stopsLoop = false; });
   loop.run();
   loop.cancel(limit);
   CHECK(finished && open.status == 200 && late->status == 200 && state->status == 503);
