gRPC: tests that cause each fault, floods found and calmed once, every decision module alone

The pure modules are tested alone, the route trie against a plain search, the operator file against its faults.

--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -1,6 +1,7 @@
 #include "http2/session.hpp"
 
 #include <array>
+#include <utility>
 #include <vector>
 
 namespace topazweir::http2 {
@@ -54,7 +55,7 @@
     auto& stream = at->second;
     stream.headBytes += nameSize + valueSize + kFieldCost;
     if (stream.headBytes > kBomb * s.limits_.headBytes) {
-      s.ending_ = true;  // an HPACK bomb: it is decoded no further
+      s.bomb_ = true;  // an HPACK bomb: it is decoded no further
       return NGHTTP2_ERR_PAUSE;
     }
     if (stream.headBytes > s.limits_.headBytes) {
@@ -234,7 +235,7 @@
   const auto taken = nghttp2_session_mem_recv(session_, reinterpret_cast<const std::uint8_t*>(input.data()),
                                               input.size());
   input.clear();
-  if (ending_) return calm("a head far over the limit");
+  if (bomb_) return calm("a head far over the limit");
   if (taken == NGHTTP2_ERR_FLOODED) return calm("frames that must be answered");
   if (taken < 0) return connection.end(net::ConnectionEnd::badPeer);
   connection.resume();
@@ -263,8 +264,7 @@
 
 bool Session::spend(Guard::Cost cost, std::string_view what) {
   if (guard_.allow(cost, loop_.now())) return true;
-  if (!ending_) {
-    ending_ = true;
+  if (!std::exchange(flooded_, true)) {
     // Not from within the codec's callback: what it still holds of this input is dropped.
     const std::weak_ptr<bool> alive = alive_;
     loop_.soon([this, alive, what = std::string(what)] {
@@ -275,7 +275,7 @@
 }
 
 void Session::calm(std::string_view what) {
-  ending_ = true;
+  if (std::exchange(ending_, true)) return;
   handler_.onFlood(*this, what);
   nghttp2_session_terminate_session(session_, NGHTTP2_ENHANCE_YOUR_CALM);
   loop_.cancel(drainTimer_);  // a peer that reads nothing must not hold the connection with that
--- a/src/http2/session.hpp
+++ b/src/http2/session.hpp
@@ -125,7 +125,8 @@
   std::uint64_t produced_ = 0;  // bytes taken out of nghttp2
   net::Loop::TimerId flushTimer_{}, drainTimer_{}, aliveTimer_{};
   Nanos heardAt_ = 0;
-  bool flushing_ = false, scheduled_ = false, exhausted_ = false, ending_ = false, pinged_ = false;
+  bool flushing_ = false, scheduled_ = false, exhausted_ = false, ending_ = false, pinged_ = false,
+       bomb_ = false, flooded_ = false;
   // Guards against use after the handler has let go of the session within one of its calls.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/tests/calls_test.cpp
@@ -0,0 +1,354 @@
+// What decides about calls: statuses, time-outs, fields, routes, the course of a call, and what holds peers back.
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include "calls/call.hpp"
+#include "calls/links.hpp"
+#include "calls/routes.hpp"
+#include "calls/shard.hpp"
+#include "calls/timeout.hpp"
+#include "check.hpp"
+#include "cuts.hpp"
+#include "grpc/health.hpp"
+#include "http2/guard.hpp"
+
+namespace topazweir::test {
+namespace {
+
+using namespace calls;
+constexpr Nanos kMs = 1'000'000, kSecond = 1000 * kMs;
+
+void statuses() {
+  for (int i = 0; i < kCodes; ++i) {
+    const auto code = static_cast<Code>(i);
+    CHECK(codeNamed(nameOf(code)) == code && readCode(std::to_string(i)) == code);
+  }
+  CHECK(!codeNamed("NOPE") && readCode("17") == Code::unknown && !readCode("") && !readCode("x") && !readCode("1 "));
+  CHECK(meaningOf(Code::notFound).counted == Class::answered && meaningOf(Code::unavailable).counted == Class::refused);
+  CHECK(codeOfHttp(404) == Code::unimplemented && codeOfHttp(503) == Code::unavailable && codeOfHttp(418) == Code::unknown);
+  // Only what is known not to have run may be said so: RFC 9113 section 8.7.
+  const std::set<Ending> never = {Ending::aboveGoaway, Ending::lostBefore, Ending::noStream};
+  for (int e = 0; e <= static_cast<int>(Ending::tooLarge); ++e)
+    for (std::uint32_t http2 = 0; http2 < 20; ++http2) {
+      const Ended ended{static_cast<Ending>(e), http2, Code::unavailable, 503};
+      const auto verdict = verdictOf(ended);
+      const bool refusedStream = ended.ending == Ending::resetByPeer && http2 == 7;
+      CHECK(verdict.ran == !(never.count(ended.ending) > 0 || refusedStream));
+      const bool safe = verdict.outcome == Outcome::rejected || verdict.outcome == Outcome::connectFailed ||
+                        verdict.outcome == Outcome::notSent;
+      CHECK(safe == !verdict.ran);
+    }
+  CHECK(verdictOf({Ending::resetByPeer, 8, {}, {}}).code == Code::cancelled);
+  CHECK(verdictOf({Ending::resetByPeer, 11, {}, {}}).code == Code::resourceExhausted);
+}
+
+void timeouts() {
+  CHECK(readTimeout("1H") == 3600 * kSecond && readTimeout("2M") == 120 * kSecond && readTimeout("3S") == 3 * kSecond);
+  CHECK(readTimeout("250m") == 250 * kMs && readTimeout("7u") == 7000 && readTimeout("99999999n") == 99'999'999);
+  CHECK(readTimeout("0n") == 0 && readTimeout("99999999H") > 0);
+  for (const auto* bad : {"", "5", "S", "123456789S", "-1S", "1.5S", "1s", "1 S", " 1S", "1SS", "S1"}) CHECK(!readTimeout(bad));
+  std::mt19937_64 random(3);
+  for (int i = 0; i < 20'000; ++i) {
+    const Nanos left = static_cast<Nanos>(random() >> (random() % 60 + 3));
+    const auto back = readTimeout(writeTimeout(left));
+    CHECK(back && *back <= std::max<Nanos>(left, 1) && *back >= left - left / 1000 - 1);
+    CHECK(writeTimeout(left).size() <= 9);
+  }
+  CHECK(writeTimeout(-5) == "1n" && timeFor(std::nullopt, 7) == 7 && timeFor(9, 7) == 7 && timeFor(3, 7) == 3);
+}
+
+Fields request(std::string path = "/a.B/C") {
+  return {{":method", "POST"}, {":path", std::move(path)}, {"content-type", "application/grpc"}, {"te", "trailers"}};
+}
+
+void fields() {
+  CHECK(!faultOf(request()));
+  auto bad = request();
+  bad[2].value = "application/json";
+  CHECK(faultOf(bad)->http == 415);
+  bad[2].value = "application/grpcx";
+  CHECK(faultOf(bad)->http == 415);
+  bad[2].value = "application/grpc+proto";
+  CHECK(!faultOf(bad));
+  bad.push_back({"grpc-timeout", "soon"});
+  CHECK(faultOf(bad)->code == Code::internal);
+  CHECK(faultOf(request("/nothing"))->code == Code::unimplemented && faultOf(request("//x"))->code == Code::unimplemented);
+  auto noTe = request();
+  noTe.pop_back();
+  CHECK(faultOf(noTe)->code == Code::internal);
+
+  auto head = request();
+  const std::vector<std::string> more = {"connection", "x", "keep-alive", "1", "grpc-timeout", "1S", "x-bin", "AAE=", "a",
+                                         "1", "a", "2", "grpc-previous-rpc-attempts", "2", "grpc-encoding", "gzip"};
+  for (std::size_t i = 0; i < more.size(); i += 2) head.push_back({more[i], more[i + 1]});
+  const auto sent = toBackend(head, "127.0.0.1:1", 1, 250 * kMs);
+  CHECK(!find(sent, "connection") && !find(sent, "keep-alive") && find(sent, "te") == "trailers");
+  CHECK(readTimeout(*find(sent, "grpc-timeout")) <= 250 * kMs && find(sent, "grpc-previous-rpc-attempts") == "3");
+  CHECK(find(sent, "x-bin") == "AAE=" && find(sent, "grpc-encoding") == "gzip" && find(sent, ":authority") == "127.0.0.1:1");
+  CHECK(std::count_if(sent.begin(), sent.end(), [](const Field& f) { return f.name == "a"; }) == 2);
+  CHECK(encodeMessage("a%b\n\xc3\xa9") == "a%25b%0A%C3%A9");
+  const auto pushback = [](const std::string& value) {
+    Fields trailers;
+    trailers.push_back({"grpc-retry-pushback-ms", value});
+    return readPushback(trailers);
+  };
+  CHECK(!readPushback({}).given && pushback("-1").stop && pushback("x").stop && pushback("40").wait == 40 * kMs);
+}
+
+// The trie against the plainest thing that could work: all matches, the best of them by rank.
+void routes() {
+  const auto plain = [](const std::vector<Match>& matches, const Fields& head) {
+    std::optional<std::size_t> best;
+    const auto path = *readPath(*find(head, ":path"));
+    const auto score = [](const Match& m) {
+      const auto depth = std::count(m.service.begin(), m.service.end(), '.') + (m.service.empty() ? 0 : 1);
+      return std::tuple(static_cast<int>(m.kind), depth, !m.authority.empty(), m.exact.size(), m.present.size());
+    };
+    for (std::size_t i = 0; i < matches.size(); ++i) {
+      const auto& m = matches[i];
+      const bool prefix = path.service.size() > m.service.size() && path.service.substr(0, m.service.size()) == m.service &&
+                          (m.service.empty() || path.service[m.service.size()] == '.');
+      bool good = m.kind == Match::Kind::any || (m.kind == Match::Kind::prefix && prefix) ||
+                  (m.kind >= Match::Kind::service && path.service == m.service &&
+                   (m.kind == Match::Kind::service || path.method == m.method));
+      good = good && (m.authority.empty() || find(head, ":authority") == m.authority);
+      for (const auto& f : m.exact) good = good && find(head, f.name) == f.value;
+      for (const auto& name : m.present) good = good && find(head, name);
+      if (good && (!best || score(m) > score(matches[*best]))) best = i;
+    }
+    return best;
+  };
+  std::mt19937 random(17);
+  const auto pick = [&](const std::vector<std::string>& words) { return words[random() % words.size()]; };
+  int equal = 0, compared = 0;
+  for (int round = 0; round < 3000; ++round) {
+    std::vector<Match> matches;
+    for (std::size_t i = 0; i < 1 + random() % 6; ++i) {
+      Match m;
+      m.kind = static_cast<Match::Kind>(random() % 4);
+      if (m.kind != Match::Kind::any) m.service = pick({"a", "a.b", "a.b.C", "a.B", "d.C"});
+      if (m.kind == Match::Kind::method) m.method = pick({"M", "N"});
+      if (random() % 3 == 0) m.authority = pick({"one", "two"});
+      if (random() % 3 == 0) m.exact.push_back({"k", pick({"1", "2"})});
+      if (random() % 3 == 0) m.present.push_back("p");
+      matches.push_back(std::move(m));
+    }
+    auto table = Routes::compile(matches);
+    if (std::holds_alternative<std::string>(table)) {
+      ++equal;
+      continue;
+    }
+    for (int i = 0; i < 20; ++i) {
+      auto head = request("/" + pick({"a", "a.b", "a.b.C", "a.B", "d.C", "a.bx.C", "x"}) + "/" + pick({"M", "N", "O"}));
+      head.push_back({":authority", pick({"one", "two", "three"})});
+      if (random() % 2 == 0) head.push_back({"k", pick({"1", "2"})});
+      if (random() % 2 == 0) head.push_back({"p", "x"});
+      CHECK(std::get<Routes>(table).find(head) == plain(matches, head));
+      ++compared;
+    }
+  }
+  CHECK(equal > 100 && compared > 10'000);
+  Match a, b;
+  a.kind = b.kind = Match::Kind::service;
+  a.service = b.service = "x.Y";
+  a.exact = {{"k", "1"}};
+  b.exact = {{"k", "2"}};  // never both
+  CHECK(std::holds_alternative<Routes>(Routes::compile({a, b})));
+  b.exact = {{"j", "1"}};  // a call with both would be anybody's guess
+  CHECK(std::get<std::string>(Routes::compile({a, b})).find("are equal") != std::string::npos);
+}
+
+// Random events: whatever comes in whatever order, a call is committed once, ends once, and tells what happened.
+void courseOfACall() {
+  std::mt19937 random(5);
+  int committed = 0, passed = 0;
+  for (int round = 0; round < 20'000; ++round) {
+    Pressure pressure;
+    Policy policy;
+    policy.replay = random() % 3 * 500;
+    policy.message = 1'000'000;
+    {
+      Call call(policy, pressure);
+      std::optional<int> owner;
+      std::uint64_t taken = 0;
+      std::vector<int> out;
+      int started = 0;
+      bool final = false;
+      std::size_t acknowledged = 0;
+      for (int step = 0; step < 20 && !final; ++step) {
+        switch (random() % 6) {
+          case 0: {
+            const std::string bytes(random() % 400, 'x');
+            if (call.requestData(bytes)) acknowledged = call.request().end();
+            if (const auto grown = call.outgrown()) {
+              CHECK(!owner && call.isOut(*grown));
+              CHECK(call.commit(*grown));
+              owner = grown;
+            }
+            break;
+          }
+          case 1:
+            if (started < 4 && !owner) call.started(started), out.push_back(started++);
+            break;
+          case 2:  // begins to answer
+            if (!out.empty()) {
+              const int attempt = out[random() % out.size()];
+              const bool mine = call.commit(attempt);
+              CHECK(mine == (!owner || owner == attempt));
+              if (mine) owner = attempt;
+            }
+            break;
+          case 3: {  // ends
+            if (out.empty()) break;
+            const auto at = random() % out.size();
+            const int attempt = out[at];
+            out.erase(out.begin() + static_cast<long>(at));
+            Ended ended{static_cast<Ending>(random() % 10), static_cast<std::uint32_t>(random() % 14),
+                        static_cast<Code>(random() % kCodes), {}};
+            Fields trailers;
+            if (ended.ending == Ending::trailers) trailers = {{"grpc-status", std::to_string(static_cast<int>(*ended.status))}};
+            if (random() % 4 == 0 && ended.ending == Ending::trailers) trailers.push_back({"grpc-retry-pushback-ms", "-1"});
+            const auto next = call.ended(attempt, ended, trailers, kSecond);
+            if (owner && owner != attempt) CHECK(!next.final);
+            if (owner == attempt) CHECK(next.final);
+            // What may have run is never told to the module as what has not.
+            if (verdictOf(ended).ran) CHECK(next.outcome != Outcome::rejected && next.outcome != Outcome::notSent && next.outcome != Outcome::connectFailed);
+            if (!next.final && next.outcome == Outcome::delivered) CHECK(false);
+            final = next.final;
+            if (!final) break;
+            const auto end = call.finish(next.counted, random() % 2 == 0, 0);
+            CHECK(call.finished() && find(end.trailers, "grpc-status"));
+            if (ended.ending == Ending::trailers) {
+              CHECK(end.fromBackend && end.code == *ended.status && end.trailers == trailers);
+              ++passed;
+            }
+            break;
+          }
+          case 4:  // the one it belongs to takes of the request
+            if (owner) {
+              taken = std::max(taken, call.request().end() - std::min<std::uint64_t>(call.request().end(), random() % 300));
+              acknowledged += call.requestTaken(taken);
+              CHECK(acknowledged <= call.request().end());
+            }
+            break;
+          default:
+            if (!out.empty() && !owner) call.dropped(out.back()), out.pop_back();
+        }
+        CHECK(call.committed() == owner && pressure.held == call.request().kept());
+      }
+      if (owner) ++committed;
+      if (!final) {
+        const auto end = call.finish(Class::failed, true, 0);
+        CHECK(end.code == Code::deadlineExceeded && end.trailers.size() == 2);
+        CHECK(!call.commit(0) || owner == 0);
+      }
+    }
+    CHECK(pressure.held == 0);
+  }
+  CHECK(committed > 1000 && passed > 1000);
+
+  Pressure pressure;
+  Call refused({}, pressure);
+  const auto end = refused.finish(Class::refused, false, 40 * kMs);
+  CHECK(end.code == Code::unavailable && find(end.trailers, "grpc-retry-pushback-ms") == "40");
+  Call waits({}, pressure);
+  waits.started(0);
+  const Ended busy{Ending::trailers, 0, Code::unavailable, {}};
+  const Fields later = {{"grpc-status", "14"}, {"grpc-retry-pushback-ms", "30"}};
+  CHECK(waits.ended(0, busy, later, kSecond).wait == 30 * kMs);
+  waits.started(1);
+  CHECK(waits.ended(1, busy, later, 20 * kMs).final);  // no time for that: it is passed on, with the wait
+  CHECK(find(waits.finish(Class::refused, false, 0).trailers, "grpc-retry-pushback-ms") == "30");
+}
+
+void bodiesAndMessages() {
+  Pressure pressure;
+  pressure.most = 100;
+  Body body(pressure);
+  std::string all;
+  std::mt19937 random(9);
+  std::uint64_t dropped = 0;
+  for (int i = 0; i < 2000; ++i) {
+    std::string piece(random() % 50, '\0');
+    for (auto& c : piece) c = static_cast<char>(random());
+    body.append(piece);
+    all += piece;
+    const auto from = dropped + random() % (all.size() - dropped + 1);
+    std::string out(random() % 200, '\0');
+    out.resize(body.read(from, out.data(), out.size()));
+    CHECK(out == all.substr(from, out.size()));
+    dropped = std::max(dropped, from);
+    body.release(dropped);
+    CHECK(body.end() == all.size() && pressure.held == body.kept() && body.kept() < all.size() - dropped + 50);
+  }
+  std::string stream;
+  for (const std::size_t size : {0U, 1U, 300U, 70'000U})
+    stream += std::string{'\0', static_cast<char>(size >> 24), static_cast<char>(size >> 16), static_cast<char>(size >> 8),
+                          static_cast<char>(size)} +
+              std::string(size, 'm');
+  sameAtEveryCut(stream.substr(0, 400), [](const std::vector<std::string>& pieces) {
+    Meter meter;
+    for (const auto& p : pieces) CHECK(meter.take(p, 100'000));
+    return std::to_string(meter.messages()) + (meter.betweenMessages() ? " between" : " within");
+  });
+  Meter meter;
+  CHECK(meter.take(stream, 70'000) && meter.messages() == 4 && meter.betweenMessages());
+  CHECK(!Meter().take(stream, 69'999));
+}
+
+void linksAndShards() {
+  using Kind = LinkChoice::Kind;
+  CHECK(chooseLink({}, 1).kind == Kind::open && chooseLink({}, 0).kind == Kind::none);
+  const LinkState full{true, false, 100, 100}, leaving{true, true, 1, 100}, coming{false, false, 3, 100}, busy{true, false, 9, 100};
+  CHECK(chooseLink({full}, 1).kind == Kind::none && chooseLink({full}, 2).kind == Kind::open);
+  CHECK(chooseLink({leaving}, 2).kind == Kind::open);
+  CHECK(chooseLink({full, coming, busy, leaving}, 9).at == 2 && chooseLink({full, coming}, 9).at == 1);
+  CHECK(hashKey("") == 0xcbf29ce484222325ULL && hashKey("a") == 0xaf63dc4c8601ec8cULL);  // the published values
+  std::vector<int> counts(7);
+  for (int i = 0; i < 7000; ++i) ++counts[static_cast<std::size_t>(shardOf("branch-" + std::to_string(i), 7))];
+  for (const int c : counts) CHECK(c > 850 && c < 1150);
+}
+
+void floodsAreFound() {
+  using Cost = http2::Guard::Cost;
+  http2::Guard guard;
+  Nanos now = kSecond;
+  for (int i = 0; i < 3000; ++i) CHECK(guard.allow(Cost::reset, now += 20 * kMs));  // a busy client, for a minute
+  int allowed = 0;
+  while (guard.allow(Cost::reset, now += 10'000)) ++allowed;
+  CHECK(allowed > 300 && allowed < 500);
+  CHECK(guard.allow(Cost::ping, now));  // each on its own
+  CHECK(guard.allow(Cost::reset, now + 10 * kSecond));
+}
+
+void healthMessages() {
+  const auto read = [](const std::string& message) {
+    const auto prefix = std::string{'\0', '\0', '\0', '\0', static_cast<char>(message.size())};
+    return grpc::readHealthRequest(prefix + message);
+  };
+  CHECK(read("") == "" && read("\x0a\x03" "a.B") == "a.B" && read("\x10\x05\x0a\x01x") == "x");
+  CHECK(!read("\x0a\x09" "a.B") && !read("\xff") && !read("\x0b") && !grpc::readHealthRequest("\x01\0\0\0\0"));
+  CHECK(grpc::writeHealthResponse(grpc::Serving::serving) == std::string("\0\0\0\0\2\x08\x01", 7));
+  survivesGarbage(std::string("\0\0\0\0\5\x0a\x03" "a.B", 10), [](const std::vector<std::string>& pieces) {
+    std::string all;
+    for (const auto& p : pieces) all += p;
+    return grpc::readHealthRequest(all).value_or("");
+  });
+}
+
+}  // namespace
+}  // namespace topazweir::test
+
+int main() {
+  using namespace topazweir::test;
+  statuses();
+  timeouts();
+  fields();
+  routes();
+  courseOfACall();
+  bodiesAndMessages();
+  linksAndShards();
+  floodsAreFound();
+  healthMessages();
+}
