Demo, stand-ins of the lab, load experiments; the module's turns taken together

topazweir demo runs the program between stand-ins in one process. The load tool measures calls straight and through the broker in one run. Found by it: a session that stopped at its output limit while the socket took all was never woken again (64 KiB messages, 16 in flight: 0 calls a second), and at 256 in flight 28 % of the time went into the module's look at every open request for each event.

--- /dev/null
+++ b/experiments/grpc-unary.hcl
@@ -0,0 +1,11 @@
+# Unary calls, straight to a stand-in and through the broker, in one run.
+# Claim: throughput through the broker is at least `leastRatio` of direct.
+seconds = 4
+unary = [
+  { inFlight = 1, bytes = 100, leastRatio = 0.2 },
+  { inFlight = 16, bytes = 100, leastRatio = 0.2 },
+  { inFlight = 256, bytes = 100, leastRatio = 0.2 },
+  { inFlight = 1, bytes = 65536, leastRatio = 0.15 },
+  { inFlight = 16, bytes = 65536, leastRatio = 0.15 },
+  { inFlight = 256, bytes = 65536, leastRatio = 0.15 },
+]
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -1,6 +1,7 @@
 #include "broker/broker.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace topazweir::broker {
 
@@ -133,8 +134,9 @@
     route_.add(TimerFired{timers_.begin()->second});
     timers_.erase(timers_.begin());
   }
-  armedFor_ = std::numeric_limits<Nanos>::max();
-  run();
+  // A wake for another reason leaves the one that is armed in place: else they would multiply.
+  if (now >= armedFor_) armedFor_ = std::numeric_limits<Nanos>::max();
+  turn();
   expire(now);
   arm();
 }
@@ -142,6 +144,7 @@
 // The module ends each query before the client's time is up. Guards the rule on final answers should it not:
 // whatever is still open then has failed, and its attempts have timed out.
 void Broker::expire(Nanos now) {
+  if (!open_.overdue(now)) return;
   while (const auto no = open_.overdue(now)) {
     auto* open = open_.find(*no);
     if (!open->streaming) log_.line("request.overdue", "request=" + std::to_string(*no) + " id=" + open->request.id);
@@ -149,7 +152,7 @@
     book_.fail(*no, true);
     route_.add(QueryExpired{Route::queryId(*no)});
   }
-  run();
+  turn();
 }
 
 // One wake at a time is asked for, the earliest that is needed.
@@ -162,6 +165,13 @@
 }
 
 void Broker::run() {
+  if (terms_.turnsTogetherFrom == 0 || open_.count() < terms_.turnsTogetherFrom) return turn();
+  if (std::exchange(turnAwaited_, true)) return;
+  clock_.wakeAt(clock_.now());
+}
+
+void Broker::turn() {
+  turnAwaited_ = false;
   route_.run(clock_.now(), [this](const Action& action) { carryOut(action); });
   arm();
 }
--- a/src/broker/broker.hpp
+++ b/src/broker/broker.hpp
@@ -53,7 +53,8 @@
   std::size_t rate(std::size_t tenant) const { return admit_.rate(tenant, clock_.now()); }
 
  private:
-  void run();
+  void run();   // a turn of the module, now or together with what else comes
+  void turn();  // now
   void carryOut(const Action& action);
   RequestNo end(const std::string& query);  // 0: it is over, or the client's already
   void expire(Nanos now);
@@ -72,6 +73,7 @@
   Relay relay_;
   Book book_;
   std::multimap<Nanos, std::int64_t> timers_;  // the module's
+  bool turnAwaited_ = false;
   Nanos armedFor_ = std::numeric_limits<Nanos>::max();
 };
 
--- a/src/cli/inspect.cpp
+++ b/src/cli/inspect.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 config::Operator read(const Options& options) {
-  const auto platform = readPlatform(options.config);
+  const auto platform = readPlatform(options);
   return config::readOperator(config::readFile(options.file), options.file,
                               platform ? *platform : config::standalone(0));
 }
--- a/src/cli/options.hpp
+++ b/src/cli/options.hpp
@@ -11,6 +11,7 @@
   enum class Command { run, check, explain, demo } command = Command::run;
   std::string config;        // the platform's file; empty: NODE_CONFIG's
   std::string operatorFile;  // empty: none
+  std::string platformText, operatorText;  // in place of these two files; set by the demo alone
   std::string features, snmp;  // files of one front each, as before the operator file
   std::string file;            // check, explain
   std::vector<std::string> request;  // explain: the path, then "key: value" or "key=value"
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -59,8 +59,9 @@
   sigprocmask(SIG_BLOCK, &set, nullptr);
 }
 
-std::optional<config::Config> readPlatform(const std::string& path) {
-  const auto file = path.empty() ? environment("NODE_CONFIG") : path;
+std::optional<config::Config> readPlatform(const Options& options) {
+  if (!options.platformText.empty()) return config::read(options.platformText);
+  const auto file = options.config.empty() ? environment("NODE_CONFIG") : options.config;
   if (file.empty()) return std::nullopt;
   auto out = config::read(config::readFile(file));
   if (const auto listen = environment("NODE_LISTEN"); !listen.empty()) out.listen = listen;
@@ -69,6 +70,7 @@
 
 config::Operator readOperatorFiles(const Options& options, const config::Config& platform) {
   config::Operator out;
+  if (!options.operatorText.empty()) out = config::readOperator(options.operatorText, "demo", platform);
   if (!options.operatorFile.empty())
     out = config::readOperator(config::readFile(options.operatorFile), options.operatorFile, platform);
   const auto once = [](bool there, const char* key, const char* option) {
@@ -85,9 +87,10 @@
   return out;
 }
 
-Program::Program(const Options& options)
+Program::Program(net::Loop& loop, const Options& options)
     : options_(options),
-      platformConfig_(readPlatform(options.config)),
+      loop_(loop),
+      platformConfig_(readPlatform(options)),
       base_(platformConfig_ ? *platformConfig_ : config::standalone(std::random_device{}())),
       operator_(readOperatorFiles(options_, base_)),
       writer_(operator_.log),
@@ -118,7 +121,7 @@
 // A file is read whole before anything is changed: a fault in it leaves all as it was.
 void Program::rereadPlatform() {
   try {
-    auto fresh = readPlatform(options_.config);
+    auto fresh = readPlatform(options_);
     if (!fresh) return;
     for (const auto& key : platform_->reload(std::move(*fresh))) log_.line("config.needs_restart", "key " + key);
     base_ = platform_->config();
@@ -187,6 +190,7 @@
 }
 
 void Program::drain() {
+  if (ending_) return;
   ending_ = true;
   const auto open = (platform_ ? platform_->broker().open() : 0) + (grpc_ ? grpc_->open() : 0) +
                     (features_ ? features_->broker().open() : 0);
@@ -212,7 +216,9 @@
 }
 
 int run(const Options& options) {
-  Program(options).run();
+  net::Loop loop;
+  Program program(loop, options);
+  loop.run();
   return kWell;
 }
 
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -16,21 +16,18 @@
 
 namespace topazweir::cli {
 
-// The platform's configuration, and where it says so the address of NODE_LISTEN. `path` empty: NODE_CONFIG's; none:
+// The platform's configuration, and where it says so the address of NODE_LISTEN; without a file NODE_CONFIG's; none:
 // there is no such part.
-std::optional<config::Config> readPlatform(const std::string& path);
+std::optional<config::Config> readPlatform(const Options& options);
 // What the operator file (and the files of single fronts) say, on top of the platform's part or without one.
 config::Operator readOperatorFiles(const Options& options, const config::Config& platform);
 
 class Program {
  public:
   // Throws ConfigError.
-  explicit Program(const Options& options);
+  Program(net::Loop& loop, const Options& options);
 
-  void run() { loop_.run(); }
-  net::Loop& loop() { return loop_; }
-  features::Side* features() { return features_ ? &*features_ : nullptr; }
-  grpc::Side* grpc() { return grpc_ ? &*grpc_ : nullptr; }
+  void drain();  // as SIGTERM does: the loop ends once all that was taken has its answer
   std::string counters();
 
  private:
@@ -38,11 +35,10 @@
   void rereadPlatform();
   void rereadOperator();
   void watchSignals();
-  void drain();
   void finish();
 
   Options options_;
-  net::Loop loop_;
+  net::Loop& loop_;
   std::optional<config::Config> platformConfig_;
   config::Config base_;  // the platform's, or what stands for it
   config::Operator operator_;
--- a/src/config/grpc_config.cpp
+++ b/src/config/grpc_config.cpp
@@ -49,6 +49,7 @@
   for (int s = 0; s < pool.shards; ++s)
     if (held.count(s) == 0) r.fail("backend", "no backend holds shard " + std::to_string(s));
   pool.terms.name = pool.name;
+  pool.terms.turnsTogetherFrom = 16;
   pool.terms.maxOpen = 2 * static_cast<std::size_t>(r.integer("calls", 1, kMany, 20'000));  // a call and its part
   Settings& s = pool.terms.settings;
   s = rules;  // the rules and limits agreed for the platform hold here too
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -305,6 +305,8 @@
   flushing_ = false;
   if (!out.empty()) connection_->write(std::move(out));
   if (size < 0) return connection_->end(net::ConnectionEnd::badPeer);
+  // Stopped at the limit, and the socket has taken all of it: nothing else would bring this back here.
+  if (size > 0 && connection_->flushed()) touch();
   if (nghttp2_session_want_read(session_) != 0 || nghttp2_session_want_write(session_) != 0) return;
   // All is said on both sides, or the codec has given the peer up.
   connection_->closeGently();
--- /dev/null
+++ b/src/lab/grpc_load.cpp
@@ -0,0 +1,330 @@
+// Measures the gRPC front: calls straight to a stand-in against calls through a broker of its own process, in one
+// run. The cases and the claims stand in an experiment file; ends non-zero where a claim does not hold.
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "config/config.hpp"
+#include "config/reader.hpp"
+#include "lab/grpc_stand_in.hpp"
+#include "lab/stand_in.hpp"
+
+namespace {
+
+using namespace topazweir;
+constexpr Nanos kMs = 1'000'000, kSecond = 1000 * kMs;
+
+// A stand-in backend on a thread of its own.
+class BackendThread {
+ public:
+  BackendThread() : thread_([this] {
+    net::Loop loop;
+    loop_ = &loop;
+    lab::GrpcStandIn server(loop, "load");
+    address_.set_value(server.address());
+    std::function<void()> look = [&] { stop_ ? loop.stop() : static_cast<void>(loop.after(20 * kMs, look)); };
+    look();
+    loop.run();
+  }) {
+    address = address_.get_future().get();
+  }
+  ~BackendThread() {
+    stop_ = true;
+    thread_.join();
+  }
+  std::string address;
+
+ private:
+  std::promise<std::string> address_;
+  std::atomic<bool> stop_{false};
+  net::Loop* loop_ = nullptr;
+  std::thread thread_;
+};
+
+// The broker as it is deployed, in a process of its own.
+class BrokerProcess {
+ public:
+  BrokerProcess(const std::string& program, const std::string& backend) : address(lab::freeAddress()) {
+    file_ = fmt::format("grpc-load.{}.hcl", ::getpid());
+    std::ofstream(file_) << fmt::format(
+        "grpc {{\n listen = \"{}\"\n streams = 2000\n pool \"p\" {{\n connections = 16\n streams = 1000\n backend \"{}\" {{}}\n}}\n"
+        "route \"all\" {{\n pool = \"p\"\n effect = \"safe\"\n deadlineMs = 600000\n aimMs = 10000\n lateMs = 1000\n messageBytes = 100000000\n}}\n}}\n",
+        address, backend);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      ::unsetenv("NODE_CONFIG");
+      const int null = ::open("/dev/null", O_WRONLY);
+      ::dup2(null, 2);
+      ::execl(program.c_str(), program.c_str(), "run", "--operator", file_.c_str(), static_cast<char*>(nullptr));
+      std::_Exit(127);
+    }
+    ::usleep(300'000);
+  }
+  ~BrokerProcess() {
+    ::kill(pid_, SIGTERM);
+    int status = 0;
+    for (int i = 0; i < 200 && ::waitpid(pid_, &status, WNOHANG) == 0; ++i) ::usleep(20'000);
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, &status, 0);
+    ::unlink(file_.c_str());
+  }
+  double cpuSeconds() const {
+    std::ifstream in(fmt::format("/proc/{}/stat", pid_));
+    std::string word;
+    double ticks = 0;
+    for (int i = 1; i <= 15 && in >> word; ++i)
+      if (i >= 14) ticks += std::stod(word);
+    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  }
+  double residentMb(const char* key = "VmRSS:") const {
+    std::ifstream in(fmt::format("/proc/{}/status", pid_));
+    std::string word;
+    while (in >> word)
+      if (word == key && in >> word) return std::stod(word) / 1024;
+    return 0;
+  }
+  std::string address;
+
+ private:
+  std::string file_;
+  pid_t pid_ = -1;
+};
+
+struct Figures {
+  double perSecond = 0, p50 = 0, p99 = 0, p999 = 0;  // latencies in microseconds
+  std::uint64_t calls = 0, failed = 0;
+};
+
+// `inFlight` calls at a time over a few connections, each answer followed by the next call.
+Figures closedLoop(const std::string& address, int inFlight, std::size_t bytes, Nanos time) {
+  net::Loop loop;
+  std::vector<std::unique_ptr<lab::GrpcClient>> clients;
+  for (int i = 0; i < std::min(inFlight, 4); ++i) clients.push_back(std::make_unique<lab::GrpcClient>(loop, address));
+  const std::string body(bytes, 'b');
+  std::vector<Nanos> latencies;
+  latencies.reserve(1 << 20);
+  Figures out;
+  const Nanos warm = loop.now() + time / 5, end = warm + time;
+  int open = 0;
+  std::function<void(std::size_t)> next = [&](std::size_t client) {
+    ++open;
+    clients[client]->call("/lab.Load/Echo", body, {}, [&, client](const lab::GrpcClient::Reply& reply) {
+      --open;
+      const Nanos now = loop.now();
+      if (reply.status != 0 || reply.body.size() != bytes) ++out.failed;
+      if (now >= warm && now < end) latencies.push_back(reply.took);
+      if (now < end) return next(client);
+      if (open == 0) loop.stop();
+    });
+  };
+  for (int i = 0; i < inFlight; ++i) next(static_cast<std::size_t>(i) % clients.size());
+  loop.after(time * 2 + 30 * kSecond, [&] { loop.stop(); });
+  loop.run();
+  std::sort(latencies.begin(), latencies.end());
+  const auto at = [&](double q) {
+    return latencies.empty() ? 0.0 : static_cast<double>(latencies[static_cast<std::size_t>(q * static_cast<double>(latencies.size() - 1))]) / 1e3;
+  };
+  out.calls = latencies.size();
+  out.perSecond = static_cast<double>(latencies.size()) / (static_cast<double>(time) / 1e9);
+  out.p50 = at(0.5), out.p99 = at(0.99), out.p999 = at(0.999);
+  return out;
+}
+
+// One stream, read at a given pace (bytes a second; 0: as fast as it comes).
+class Reader : http2::Session::Handler {
+ public:
+  Reader(net::Loop& loop, const std::string& address, std::uint64_t bytes, double pace) : loop_(loop), pace_(pace) {
+    http2::Limits limits;
+    limits.window = 1024 * 1024;
+    session_ = http2::Session::connect(loop, Poco::Net::SocketAddress(address), kSecond, limits, *this);
+    stream_ = session_->request({{":method", "POST"}, {":scheme", "http"}, {":path", "/lab.Load/Stream"}, {":authority", "x"},
+                                 {"content-type", "application/grpc"}, {"te", "trailers"}, {"x-bytes", std::to_string(bytes)}},
+                                true);
+    startedAt_ = loop.now();
+    if (pace > 0) tick();
+  }
+  std::uint64_t got = 0;
+  bool good = false;
+  Nanos took = 0;
+
+ private:
+  void tick() {
+    const auto due = static_cast<std::uint64_t>(static_cast<double>(loop_.now() - startedAt_) / 1e9 * pace_);
+    const auto step = std::min(got, due) - std::min(consumed_, std::min(got, due));
+    consumed_ += step;
+    session_->consume(stream_, static_cast<std::size_t>(step));
+    if (took == 0) loop_.after(5 * kMs, [this] { tick(); });
+  }
+  void onHead(http2::Session&, http2::StreamId, calls::Fields, bool end) override {
+    if (end) finish(false);
+  }
+  void onData(http2::Session& session, http2::StreamId id, std::string_view bytes) override {
+    got += bytes.size();
+    if (pace_ <= 0) session.consume(id, bytes.size());
+  }
+  void onEnd(http2::Session&, http2::StreamId, calls::Fields trailers) override { finish(calls::find(trailers, "grpc-status") == "0"); }
+  void onClosed(http2::Session&, http2::StreamId, std::uint32_t) override { finish(false); }
+  http2::Pulled onPull(http2::Session&, http2::StreamId, char*, std::size_t) override { return {0, http2::Pulled::Then::end, {}}; }
+  void onGone(http2::Session&, net::ConnectionEnd) override { finish(false); }
+  void finish(bool ok) {
+    if (took > 0) return;
+    good = ok;
+    took = loop_.now() - startedAt_;
+    loop_.stop();
+  }
+  net::Loop& loop_;
+  double pace_;
+  std::unique_ptr<http2::Session> session_;
+  http2::StreamId stream_ = 0;
+  Nanos startedAt_ = 0;
+  std::uint64_t consumed_ = 0;
+};
+
+// Streams that are opened, say one word each way and then nothing.
+class Idlers : http2::Session::Handler {
+ public:
+  Idlers(net::Loop& loop, const std::string& address, int streams) {
+    for (int i = 0; i < streams; ++i) {
+      if (i % 1000 == 0)
+        sessions_.push_back(http2::Session::connect(loop, Poco::Net::SocketAddress(address), kSecond, {}, *this));
+      sent_[{sessions_.back().get(),
+             sessions_.back()->request({{":method", "POST"}, {":scheme", "http"}, {":path", "/lab.Load/Open"}, {":authority", "x"},
+                                        {"content-type", "application/grpc"}, {"te", "trailers"}, {"x-open", "1"}},
+                                       false)}] = false;
+    }
+  }
+  int answered = 0, closed = 0;
+
+ private:
+  void onHead(http2::Session&, http2::StreamId, calls::Fields, bool) override {}
+  void onData(http2::Session& session, http2::StreamId id, std::string_view bytes) override {
+    ++answered;
+    session.consume(id, bytes.size());
+  }
+  void onEnd(http2::Session&, http2::StreamId, calls::Fields) override { ++closed; }
+  void onClosed(http2::Session&, http2::StreamId, std::uint32_t) override { ++closed; }
+  void onGone(http2::Session&, net::ConnectionEnd) override {}
+  http2::Pulled onPull(http2::Session& session, http2::StreamId id, char* to, std::size_t) override {
+    auto& sent = sent_[{&session, id}];
+    http2::Pulled out{0, http2::Pulled::Then::wait, {}};
+    if (std::exchange(sent, true)) return out;
+    const auto word = lab::prefixed("hello");
+    std::copy(word.begin(), word.end(), to);
+    out.size = word.size();
+    return out;
+  }
+  std::vector<std::unique_ptr<http2::Session>> sessions_;
+  std::map<std::pair<http2::Session*, http2::StreamId>, bool> sent_;
+};
+
+struct Claims {
+  int broken = 0;
+  void check(bool holds, const std::string& words) {
+    std::cout << (holds ? "claim holds: " : "CLAIM BROKEN: ") << words << '\n';
+    broken += holds ? 0 : 1;
+  }
+};
+
+int measure(const std::string& program, const config::Reader& file) {
+  Claims claims;
+  const Nanos time = file.integer("seconds", 1, 600, 5) * kSecond;
+  std::cout << fmt::format("{:>9} {:>8} {:>11} {:>11} {:>6} {:>11} {:>11} {:>11} {:>11} {:>9} {:>8}\n", "in flight", "bytes",
+                           "direct/s", "broker/s", "ratio", "direct p50", "added p50", "added p99", "added p99.9", "cpu us", "MB");
+  for (const auto& c : file.objects("unary")) {
+    const int inFlight = static_cast<int>(c.integer("inFlight", 1, 100'000));
+    const auto bytes = static_cast<std::size_t>(c.integer("bytes", 0, 10'000'000));
+    BackendThread backend;
+    const auto direct = closedLoop(backend.address, inFlight, bytes, time);
+    BrokerProcess broker(program, backend.address);
+    closedLoop(broker.address, 1, 10, kSecond / 4);  // its connection is up, and its caches are warm
+    const double before = broker.cpuSeconds();
+    const auto through = closedLoop(broker.address, inFlight, bytes, time);
+    const double cpu = (broker.cpuSeconds() - before) / 1.2 / std::max(1.0, static_cast<double>(through.calls)) * 1e6;
+    const double ratio = through.perSecond / std::max(1.0, direct.perSecond);
+    std::cout << fmt::format("{:>9} {:>8} {:>11.0f} {:>11.0f} {:>6.2f} {:>8.0f} us {:>8.0f} us {:>8.0f} us {:>8.0f} us {:>9.1f} {:>8.1f}\n",
+                             inFlight, bytes, direct.perSecond, through.perSecond, ratio, direct.p50, through.p50 - direct.p50,
+                             through.p99 - direct.p99, through.p999 - direct.p999, cpu, broker.residentMb("VmHWM:"))
+              << std::flush;
+    claims.check(direct.failed + through.failed == 0, "every call was answered, with its own bytes");
+    if (const double least = c.number("leastRatio", 0, 1, 0); least > 0)
+      claims.check(ratio >= least, fmt::format("throughput through the broker at least {} of direct: {:.2f}", least, ratio));
+  }
+  if (const auto s = file.object("stream")) {
+    const auto bytes = static_cast<std::uint64_t>(s->integer("mebibytes", 1, 100'000)) * 1024 * 1024;
+    const double slower = s->number("slower", 1, 1000, 10);
+    BackendThread backend;
+    net::Loop fastLoop;
+    Reader fast(fastLoop, backend.address, bytes / 4, 0);
+    fastLoop.run();
+    const double direct = static_cast<double>(fast.got) / (static_cast<double>(fast.took) / 1e9);
+    BrokerProcess broker(program, backend.address);
+    net::Loop throughLoop;
+    Reader through(throughLoop, broker.address, bytes / 4, 0);
+    throughLoop.run();
+    const double rate = static_cast<double>(through.got) / (static_cast<double>(through.took) / 1e9);
+    net::Loop slowLoop;
+    Reader slow(slowLoop, broker.address, bytes, rate / slower);
+    slowLoop.run();
+    std::cout << fmt::format("stream: direct {:.0f} MiB/s, through the broker {:.0f} MiB/s ({:.2f}); {} MiB read {} times slower: {} s, "
+                             "resident at most {:.1f} MB\n",
+                             direct / 1048576, rate / 1048576, rate / direct, bytes / 1048576, slower, slow.took / kSecond,
+                             broker.residentMb("VmHWM:"));
+    claims.check(fast.good && through.good && slow.good && slow.got >= bytes - 65536, "the streams came whole");
+    const double most = s->number("mostMb", 0, 1e6, 64);
+    claims.check(broker.residentMb("VmHWM:") <= most, fmt::format("resident within {} MB", most));
+  }
+  if (const auto s = file.object("idle")) {
+    const int streams = static_cast<int>(s->integer("streams", 1, 1'000'000));
+    BackendThread backend;
+    BrokerProcess broker(program, backend.address);
+    const double start = broker.residentMb();
+    net::Loop loop;
+    Idlers idlers(loop, broker.address, streams);
+    loop.after(8 * kSecond, [&] { loop.stop(); });
+    loop.run();
+    const double cpu = broker.cpuSeconds();
+    net::Loop rest;
+    rest.after(2 * kSecond, [&] { rest.stop(); });
+    rest.run();
+    std::cout << fmt::format("idle: {} of {} streams open, resident {:.1f} MB ({:.1f} at start, {:.1f} KB a stream), {:.0f}% of a core idle\n",
+                             idlers.answered - idlers.closed, streams, broker.residentMb(), start,
+                             (broker.residentMb() - start) * 1024 / streams, (broker.cpuSeconds() - cpu) / 2 * 100);
+    claims.check(idlers.answered == streams && idlers.closed == 0, "all streams are open");
+    const double most = s->number("mostMb", 0, 1e6, 150);
+    claims.check(broker.residentMb() <= most, fmt::format("resident within {} MB", most));
+  }
+  return claims.broken;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::string experiment, program = "build/topazweir";
+  CLI::App app("Measures calls through topazweir against calls without it, as an experiment file says.");
+  app.add_option("EXPERIMENT", experiment, "experiments/grpc-*.hcl")->required();
+  app.add_option("--program", program, "the broker");
+  CLI11_PARSE(app, count, words);
+  try {
+    const auto root = config::readHcl(config::readFile(experiment), experiment);
+    const config::Reader file(root, "", experiment);
+    const int broken = measure(program, file);
+    file.refuseUnknown();
+    return broken == 0 ? 0 : 1;
+  } catch (const config::ConfigError& error) {
+    std::cerr << error.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/lab/grpc_stand_in.cpp
@@ -0,0 +1,174 @@
+#include "lab/grpc_stand_in.hpp"
+
+#include <Poco/Observer.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace topazweir::lab {
+
+namespace {
+
+constexpr std::size_t kPrefix = 5;
+
+// Copies what is left of a text; whether it is now through.
+http2::Pulled pull(const std::string& text, std::size_t& sent, char* to, std::size_t most) {
+  http2::Pulled out;
+  out.size = std::min(most, text.size() - sent);
+  std::memcpy(to, text.data() + sent, out.size);
+  sent += out.size;
+  return out;
+}
+
+// A message of 64 KiB with its prefix.
+const std::string kZeros = prefixed(std::string(64 * 1024 - kPrefix, '\0'));
+
+}  // namespace
+
+std::string prefixed(const std::string& body) {
+  std::string out(1, '\0');
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(body.size() >> shift);
+  return out + body;
+}
+
+GrpcStandIn::GrpcStandIn(net::Loop& loop, std::string name) : loop_(loop), name_(std::move(name)) {
+  listener_.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
+  listener_.listen();
+  listener_.setBlocking(false);
+  loop_.addEventHandler(listener_, Poco::Observer(*this, &GrpcStandIn::onAccept));
+}
+
+GrpcStandIn::~GrpcStandIn() { loop_.removeEventHandler(listener_, Poco::Observer(*this, &GrpcStandIn::onAccept)); }
+
+void GrpcStandIn::onAccept(Poco::Net::ReadableNotification* event) {
+  event->release();
+  auto peer = std::make_unique<Peer>();
+  http2::Limits limits;
+  limits.streams = 10'000;
+  limits.window = 1024 * 1024;
+  peer->session = http2::Session::accept(loop_, listener_.acceptConnection(), limits, *this);
+  peers_[peer->session.get()] = std::move(peer);
+}
+
+GrpcStandIn::Call* GrpcStandIn::find(http2::Session& session, http2::StreamId id) {
+  const auto peer = peers_.find(&session);
+  if (peer == peers_.end()) return nullptr;
+  const auto at = peer->second->calls.find(id);
+  return at == peer->second->calls.end() ? nullptr : &at->second;
+}
+
+void GrpcStandIn::onHead(http2::Session& session, http2::StreamId id, calls::Fields head, bool end) {
+  ++calls_;
+  auto& call = peers_.at(&session)->calls[id];
+  if (const auto bytes = calls::find(head, "x-bytes")) call.zeros = std::stoull(std::string(*bytes)) / kZeros.size() * kZeros.size();
+  call.open = calls::find(head, "x-open").has_value();
+  if (call.open) session.respond(id, {{":status", "200"}, {"content-type", "application/grpc"}});
+  if (end) onEnd(session, id, {});
+}
+
+void GrpcStandIn::onData(http2::Session& session, http2::StreamId id, std::string_view bytes) {
+  if (auto* call = find(session, id)) {
+    call->body.append(bytes);
+    if (call->open) session.resume(id);
+  }
+  session.consume(id, bytes.size());
+}
+
+void GrpcStandIn::onEnd(http2::Session& session, http2::StreamId id, calls::Fields) {
+  if (auto* call = find(session, id)) {
+    call->ended = true;
+    if (call->open) return session.resume(id);
+  }
+  const auto answer = [this, &session, id] {
+    if (find(session, id)) session.respond(id, {{":status", "200"}, {"content-type", "application/grpc"}});
+  };
+  delay > 0 ? static_cast<void>(loop_.after(delay, answer)) : answer();
+}
+
+void GrpcStandIn::onClosed(http2::Session& session, http2::StreamId id, std::uint32_t) {
+  if (const auto peer = peers_.find(&session); peer != peers_.end()) peer->second->calls.erase(id);
+}
+
+http2::Pulled GrpcStandIn::onPull(http2::Session& session, http2::StreamId id, char* to, std::size_t most) {
+  auto* call = find(session, id);
+  if (!call) return {0, http2::Pulled::Then::end, {}};
+  http2::Pulled out;
+  if (call->zeros > 0) {  // a whole number of messages: where one stands says how many are left
+    const auto at = static_cast<std::size_t>((kZeros.size() - call->zeros % kZeros.size()) % kZeros.size());
+    out.size = std::min({most, kZeros.size() - at, static_cast<std::size_t>(call->zeros)});
+    std::memcpy(to, kZeros.data() + at, out.size);
+    call->zeros -= out.size;
+    if (call->zeros > 0) return out;
+  } else {
+    out = pull(call->body, call->sent, to, most);
+    if (call->sent < call->body.size()) return out;
+    if (!call->ended) {
+      out.then = http2::Pulled::Then::wait;
+      return out;
+    }
+  }
+  out.then = http2::Pulled::Then::trailers;
+  out.last = {{"grpc-status", "0"}, {"x-server", name_}};
+  return out;
+}
+
+void GrpcStandIn::onGone(http2::Session& session, net::ConnectionEnd) {
+  const auto at = peers_.find(&session);
+  if (at == peers_.end()) return;
+  const std::shared_ptr<Peer> peer = std::move(at->second);
+  peers_.erase(at);
+  loop_.soon([peer] {});
+}
+
+GrpcClient::GrpcClient(net::Loop& loop, const std::string& address) : loop_(loop), address_(address) {
+  session_ = http2::Session::connect(loop, Poco::Net::SocketAddress(address), 1'000'000'000, {}, *this);
+}
+
+void GrpcClient::call(const std::string& path, const std::string& body, const calls::Fields& metadata, Done done) {
+  calls::Fields head = {{":method", "POST"},           {":scheme", "http"}, {":path", path}, {":authority", address_},
+                        {"content-type", "application/grpc"}, {"te", "trailers"}};
+  head.insert(head.end(), metadata.begin(), metadata.end());
+  const auto id = session_->request(head, false);
+  if (id < 0) return done({});
+  open_[id] = {prefixed(body), {}, 0, loop_.now(), std::move(done)};
+}
+
+http2::Pulled GrpcClient::onPull(http2::Session&, http2::StreamId id, char* to, std::size_t most) {
+  const auto at = open_.find(id);
+  if (at == open_.end()) return {0, http2::Pulled::Then::end, {}};
+  auto out = pull(at->second.request, at->second.sent, to, most);
+  if (at->second.sent == at->second.request.size()) out.then = http2::Pulled::Then::end;
+  return out;
+}
+
+void GrpcClient::onHead(http2::Session&, http2::StreamId id, calls::Fields head, bool end) {
+  if (end) finish(id, head);
+}
+
+void GrpcClient::onData(http2::Session& session, http2::StreamId id, std::string_view bytes) {
+  if (const auto at = open_.find(id); at != open_.end()) at->second.response.append(bytes);
+  session.consume(id, bytes.size());
+}
+
+void GrpcClient::onEnd(http2::Session&, http2::StreamId id, calls::Fields trailers) { finish(id, trailers); }
+void GrpcClient::onClosed(http2::Session&, http2::StreamId id, std::uint32_t) { finish(id, {}); }
+
+void GrpcClient::onGone(http2::Session&, net::ConnectionEnd) {
+  while (!open_.empty()) finish(open_.begin()->first, {});
+}
+
+void GrpcClient::finish(http2::StreamId id, const calls::Fields& trailers) {
+  const auto at = open_.find(id);
+  if (at == open_.end()) return;
+  const Open open = std::move(at->second);
+  open_.erase(at);
+  Reply reply;
+  if (const auto code = calls::readCode(calls::find(trailers, "grpc-status").value_or(""))) reply.status = static_cast<int>(*code);
+  reply.message = calls::find(trailers, "grpc-message").value_or("");
+  reply.trailers = trailers;
+  reply.body = open.response.substr(std::min(kPrefix, open.response.size()));
+  reply.took = loop_.now() - open.startedAt;
+  open.done(reply);
+}
+
+}  // namespace topazweir::lab
--- a/tests/stand_in.hpp
+++ b/src/lab/stand_in.hpp
@@ -4,6 +4,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Observer.h>
 
+#include <array>
+#include <cstdio>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,7 +15,7 @@
 #include "platform/frames.hpp"
 #include "http/message.hpp"
 
-namespace topazweir::test {
+namespace topazweir::lab {
 
 // noise: what no reader understands. endless: an answer that begins and never ends. extra: noise behind a
 // good answer. twice: the answer, and the same again.
@@ -142,6 +144,19 @@
   }
 };
 
+// An agent of discovery: answers each watch with one list and leaves it open.
+struct AgentSpeaker : Speaker {
+  std::string list;
+  std::optional<std::string> reply(std::string& input, Fault) override {
+    http::Parser parser(http::Side::request);
+    if (parser.parse(input) != http::Parser::Progress::complete) return std::nullopt;
+    parser.next(input);
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", list.size() + 1);
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size.data() + list) + "\n\r\n";
+  }
+};
+
 // Sends one request and ends the loop with its answer.
 class Client : net::Connection::Owner {
  public:
@@ -183,4 +198,4 @@
   bool done_ = false;
 };
 
-}  // namespace topazweir::test
+}  // namespace topazweir::lab
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <exception>
 #include <iostream>
 
+#include "cli/demo.hpp"
 #include "cli/inspect.hpp"
 #include "cli/options.hpp"
 #include "cli/serve.hpp"
@@ -22,7 +23,7 @@
       case cli::Options::Command::explain:
         return cli::explain(*parsed.options, std::cout);
       case cli::Options::Command::demo:
-        break;
+        return cli::demo(*parsed.options);
     }
   } catch (const config::ConfigError& error) {
     std::cerr << "topazweir: " << error.what() << '\n';
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -6,9 +6,11 @@
 #include "features/side.hpp"
 #include "platform/front.hpp"
 #include "platform/node_pool.hpp"
-#include "stand_in.hpp"
+#include "lab/stand_in.hpp"
 
 namespace topazweir::test {
+
+using namespace lab;
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
--- a/tests/node_pool_test.cpp
+++ b/tests/node_pool_test.cpp
@@ -2,9 +2,11 @@
 #include "platform/node_pool.hpp"
 
 #include "check.hpp"
-#include "stand_in.hpp"
+#include "lab/stand_in.hpp"
 
 namespace topazweir::test {
+
+using namespace lab;
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -11,9 +11,11 @@
 #include <functional>
 
 #include "check.hpp"
-#include "stand_in.hpp"
+#include "lab/stand_in.hpp"
 
 namespace topazweir::test {
+
+using namespace lab;
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
@@ -115,19 +117,6 @@
   ::unlink(file.c_str());
 }
 
-// An agent of discovery: answers each watch with one list and leaves it open.
-struct AgentSpeaker : Speaker {
-  std::string list;
-  std::optional<std::string> reply(std::string& input, Fault) override {
-    http::Parser parser(http::Side::request);
-    if (parser.parse(input) != http::Parser::Progress::complete) return std::nullopt;
-    parser.next(input);
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", list.size() + 1);
-    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size.data() + list) + "\n\r\n";
-  }
-};
-
 // SIGHUP moves discovery to the address that the file now names, whatever the generation there; a faulty file
 // changes nothing; SIGTERM still ends the program in order. The first agent knows no node, the second one does.
 void rereadsItsConfiguration(const char* path) {
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -3,9 +3,11 @@
 #include "check.hpp"
 #include "net/connection.hpp"
 #include "http/server.hpp"
-#include "stand_in.hpp"
+#include "lab/stand_in.hpp"
 
 namespace topazweir::test {
+
+using namespace lab;
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
