--- a/include/topazweir/aggregator.hpp
+++ b/include/topazweir/aggregator.hpp
@@ -39,9 +39,9 @@
   double need = 1;          // weight of the parts that makes a whole answer
   double floor = 1;         // weight below which no answer may be given
   double partialWorth = 0;  // an answer below `need` earns this x weight / need
-  Nanos leastLate = 0;      // no part is late, nor its server silent, before so long; for quick, uneven services
-  int maxAttempts = 0;      // for one part; 0: as the settings say, which are never exceeded
-  bool copies = true;       // a part may have two attempts out, where the settings allow it at all
+  Nanos leastLate = 0;  // no part is late, nor its server silent, before so long; for quick, uneven services
+  int maxAttempts = 0;  // for one part; 0: as the settings say, which are never exceeded
+  bool copies = true;   // a part may have two attempts out, where the settings allow it at all
   int secondStepParts = 0;  // parts of a second step that follows the first answer; 0: there is none
   bool operator==(const QueryClass&) const = default;
 };
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -72,8 +72,8 @@
   // For the module the part is in: how long the first of the answer took is what it ranks by. What it then
   // says of the query is not carried out, since that is the client's by now.
   if (heard)
-    route_.add(AttemptEnded{Route::partId(id.request, 0), id.attempt, attempts[nth].server, Outcome::delivered,
-                            clock_.now() - attempts[nth].sentAt, std::nullopt});
+    route_.add(AttemptEnded{Route::partId(id.request, 0), id.attempt, attempts[nth].server,
+                            Outcome::delivered, clock_.now() - attempts[nth].sentAt, std::nullopt});
   over(id.request);
   return true;
 }
@@ -147,7 +147,8 @@
   if (!open_.overdue(now)) return;
   while (const auto no = open_.overdue(now)) {
     auto* open = open_.find(*no);
-    if (!open->streaming) log_.line("request.overdue", "request=" + std::to_string(*no) + " id=" + open->request.id);
+    if (!open->streaming)
+      log_.line("request.overdue", "request=" + std::to_string(*no) + " id=" + open->request.id);
     send_.cancelAll(*no, *open);
     book_.fail(*no, true);
     route_.add(QueryExpired{Route::queryId(*no)});
--- a/src/broker/broker.hpp
+++ b/src/broker/broker.hpp
@@ -33,9 +33,9 @@
   void begin(RequestNo no);
   void abandon(RequestNo no);  // the client has left
   void attemptEnded(const AttemptId& id, Outcome outcome, std::string value = {});
-  // A request of one part: the attempt has begun its answer, which ends with settle(). `heard`: it was the server
-  // that spoke; else the request itself is too long or too slow for a further attempt, which says nothing of the
-  // server. False: the request is over, or another attempt's.
+  // A request of one part: the attempt has begun its answer, which ends with settle(). `heard`: it was the
+  // server that spoke; else the request itself is too long or too slow for a further attempt, which says
+  // nothing of the server. False: the request is over, or another attempt's.
   bool attemptBegan(const AttemptId& id, bool heard);
   // The attempt has ended, and the request ends with it, whatever the module would do next.
   void settle(const AttemptId& id, Outcome outcome, Verdict verdict);
--- a/src/broker/contract.hpp
+++ b/src/broker/contract.hpp
@@ -17,8 +17,8 @@
 struct Terms {
   std::string name;   // of the core, where a program has several: said in the log
   Settings settings;  // of the decision module
-  // With more than so many requests open, events wait for the next wake and reach the module together: each of its
-  // turns looks at every open request. 0: each event is a turn.
+  // With more than so many requests open, events wait for the next wake and reach the module together: each
+  // of its turns looks at every open request. 0: each event is a turn.
   std::size_t turnsTogetherFrom = 0;
   std::vector<Contract> contracts;
   double overShareWorth = 1;  // what a request beyond its tenant's share is still worth
--- a/src/broker/counters.hpp
+++ b/src/broker/counters.hpp
@@ -17,7 +17,7 @@
   std::uint64_t taken = 0, turnedAway = 0, invalid = 0;
   std::uint64_t answered = 0, answeredPartial = 0, refused = 0, failed = 0, abandoned = 0;
   std::uint64_t sent = 0, furtherAttempts = 0, unsent = 0;
-  std::uint64_t streamed = 0;  // of the taken: answers that began before they were whole
+  std::uint64_t streamed = 0;           // of the taken: answers that began before they were whole
   std::array<std::uint64_t, 8> ends{};  // of attempts, by topazweir::Outcome
   std::vector<TenantCounters> tenants;
 };
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -12,7 +12,8 @@
   const AttemptId attempt{id.request, id.part, static_cast<int>(part.attempts.size())};
   part.attempts.push_back(Attempt{order.server, now, true});
   // Guards the rule on attempts, and that nothing is sent past the client's time, whatever the module asks.
-  const int most = limitOf(terms_.settings, terms_.settings.classes[static_cast<std::size_t>(open->request.queryClass)]);
+  const int most =
+      limitOf(terms_.settings, terms_.settings.classes[static_cast<std::size_t>(open->request.queryClass)]);
   if (attempt.attempt >= most || now >= open->due || open->streaming) {
     ++counters_.unsent;
     return attempt;
--- a/src/calls/body.hpp
+++ b/src/calls/body.hpp
@@ -18,8 +18,8 @@
   bool full() const { return held >= most; }
 };
 
-// A queue of bytes that is read from any offset on; what nobody will read again is dropped. Bounded by its users:
-// the replay limit before a call is committed, the stream's window after it.
+// A queue of bytes that is read from any offset on; what nobody will read again is dropped. Bounded by its
+// users: the replay limit before a call is committed, the stream's window after it.
 class Body {
  public:
   explicit Body(Pressure& pressure) : pressure_(&pressure) {}
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -37,7 +37,8 @@
 
 Next Call::ended(int attempt, const Ended& e, Fields trailers, Nanos timeLeft) {
   dropped(attempt);
-  if (finished_ || (committed_ && committed_ != attempt)) return {false, Outcome::cancelled, Class::failed, 0};
+  if (finished_ || (committed_ && committed_ != attempt))
+    return {false, Outcome::cancelled, Class::failed, 0};
   const Verdict verdict = verdictOf(e);
   const auto pushback = readPushback(trailers);
   remember(verdict, e, std::move(trailers));
@@ -45,8 +46,8 @@
   decided_ = next.final;
   if (next.final) return next;
   if (e.ending == Ending::trailers) {
-    // The service's own word ends the call, unless the route says that this word is worth another attempt, there
-    // is time for one and the backend does not forbid it.
+    // The service's own word ends the call, unless the route says that this word is worth another attempt,
+    // there is time for one and the backend does not forbid it.
     const bool again = policy_.retries(verdict.code) && !pushback.stop && pushback.wait < timeLeft;
     next.final = !again;
     next.wait = again ? pushback.wait : 0;
--- a/src/calls/links.hpp
+++ b/src/calls/links.hpp
@@ -8,10 +8,10 @@
 namespace topazweir::calls {
 
 struct LinkState {
-  bool up = false;         // else it is coming up
-  bool closing = false;    // a GOAWAY has come, or its stream numbers are used up: takes nothing new
-  std::size_t streams = 0; // open ones, and those that wait for it to come up
-  std::size_t most = 100;  // that its peer allows
+  bool up = false;          // else it is coming up
+  bool closing = false;     // a GOAWAY has come, or its stream numbers are used up: takes nothing new
+  std::size_t streams = 0;  // open ones, and those that wait for it to come up
+  std::size_t most = 100;   // that its peer allows
 };
 
 struct LinkChoice {
@@ -19,8 +19,8 @@
   std::size_t at = 0;  // use: the position
 };
 
-// The one with the fewest streams that is up; else one that is coming up; else a new one. Streams are spread only
-// where needed: a further connection is opened when all are full, and `spread` streams wait on none.
+// The one with the fewest streams that is up; else one that is coming up; else a new one. Streams are spread
+// only where needed: a further connection is opened when all are full, and `spread` streams wait on none.
 inline LinkChoice chooseLink(const std::vector<LinkState>& links, std::size_t mostLinks) {
   std::optional<std::size_t> best;
   std::size_t held = 0;
@@ -28,8 +28,8 @@
     const auto& l = links[i];
     ++held;
     if (l.closing || l.streams >= l.most) continue;
-    const bool better = !best || (l.up && !links[*best].up) ||
-                        (l.up == links[*best].up && l.streams < links[*best].streams);
+    const bool better =
+        !best || (l.up && !links[*best].up) || (l.up == links[*best].up && l.streams < links[*best].streams);
     if (better) best = i;
   }
   if (best) return {LinkChoice::Kind::use, *best};
--- a/src/calls/metadata.cpp
+++ b/src/calls/metadata.cpp
@@ -72,11 +72,13 @@
   out.push_back({std::string(kTimeout), writeTimeout(left)});
   // What the client had counted of its own tries goes on counting.
   int before = 0;
-  if (const auto told = find(request, kAttempts)) std::from_chars(told->data(), told->data() + told->size(), before);
+  if (const auto told = find(request, kAttempts))
+    std::from_chars(told->data(), told->data() + told->size(), before);
   before = std::clamp(before, 0, 1'000'000);
   if (before + attempt > 0) out.push_back({std::string(kAttempts), std::to_string(before + attempt)});
   for (const auto& f : request)
-    if (f.name.front() != ':' && !hopByHop(f.name) && f.name != kTimeout && f.name != kAttempts) out.push_back(f);
+    if (f.name.front() != ':' && !hopByHop(f.name) && f.name != kTimeout && f.name != kAttempts)
+      out.push_back(f);
   return out;
 }
 
--- a/src/calls/routes.cpp
+++ b/src/calls/routes.cpp
@@ -90,8 +90,8 @@
     for (std::size_t j = i + 1; j < routes.size(); ++j) {
       const auto &a = matches_[routes[i]], &b = matches_[routes[j]];
       if (rank(a) == rank(b) && meet(a, b))
-        return "routes " + std::to_string(routes[i]) + " and " + std::to_string(routes[j]) + " are equal: " +
-               a.text() + " and " + b.text();
+        return "routes " + std::to_string(routes[i]) + " and " + std::to_string(routes[j]) +
+               " are equal: " + a.text() + " and " + b.text();
     }
   return std::nullopt;
 }
--- a/src/calls/shard.hpp
+++ b/src/calls/shard.hpp
@@ -6,7 +6,8 @@
 
 namespace topazweir::calls {
 
-// FNV-1a, 64 bits (Fowler, Noll, Vo): the same on every broker and in every release, since it says where data lies.
+// FNV-1a, 64 bits (Fowler, Noll, Vo): the same on every broker and in every release, since it says where data
+// lies.
 constexpr std::uint64_t hashKey(std::string_view key) {
   std::uint64_t hash = 0xcbf29ce484222325ULL;
   for (const char c : key) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
--- a/src/calls/status.cpp
+++ b/src/calls/status.cpp
@@ -13,8 +13,8 @@
   Meaning meaning;
 };
 
-// answered: the service has said what there is to say, be it "no such thing". refused: it turned the call away
-// and asking again is what it wants. failed: it, or the way there, broke.
+// answered: the service has said what there is to say, be it "no such thing". refused: it turned the call
+// away and asking again is what it wants. failed: it, or the way there, broke.
 constexpr std::array<Row, kCodes> kRows = {{
     {"OK", {Class::answered, Outcome::delivered}},
     {"CANCELLED", {Class::failed, Outcome::error}},
@@ -36,8 +36,8 @@
     {"UNAUTHENTICATED", {Class::answered, Outcome::delivered}},
 }};
 
-// RFC 9113 section 7, in the order of its codes; gRPC's own column from PROTOCOL-HTTP2.md, "Errors". Codes that it
-// leaves open (STREAM_CLOSED, HTTP_1_1_REQUIRED) are UNKNOWN, as for codes that nobody knows.
+// RFC 9113 section 7, in the order of its codes; gRPC's own column from PROTOCOL-HTTP2.md, "Errors". Codes
+// that it leaves open (STREAM_CLOSED, HTTP_1_1_REQUIRED) are UNKNOWN, as for codes that nobody knows.
 constexpr std::array<Code, 14> kHttp2 = {
     Code::internal,           // NO_ERROR
     Code::internal,           // PROTOCOL_ERROR
@@ -104,8 +104,8 @@
     case Ending::noStatus:
       return {Code::internal, "the stream ended before its trailers", Outcome::error, true};
     case Ending::badResponse:
-      return {e.http ? codeOfHttp(*e.http) : Code::internal, "the backend's response is not gRPC", Outcome::error,
-              true};
+      return {e.http ? codeOfHttp(*e.http) : Code::internal, "the backend's response is not gRPC",
+              Outcome::error, true};
     case Ending::resetByPeer: {
       const bool refused = e.http2 == kRefusedStream;  // RFC 9113 section 8.7: not processed
       const Code code = e.http2 < kHttp2.size() ? kHttp2[e.http2] : Code::unknown;
--- a/src/calls/timeout.cpp
+++ b/src/calls/timeout.cpp
@@ -30,7 +30,8 @@
     if (c < '0' || c > '9') return std::nullopt;
     value = value * 10 + (c - '0');
   }
-  const auto unit = std::find_if(kUnits.begin(), kUnits.end(), [&](Unit u) { return u.letter == text.back(); });
+  const auto unit =
+      std::find_if(kUnits.begin(), kUnits.end(), [&](Unit u) { return u.letter == text.back(); });
   if (unit == kUnits.end()) return std::nullopt;
   return value > kLongest / unit->nanos ? kLongest : value * unit->nanos;
 }
--- a/src/cli/demo.cpp
+++ b/src/cli/demo.cpp
@@ -15,9 +15,11 @@
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
-constexpr const char* kQuery = R"({"targets":[{"partition":0,"share":0.5},{"partition":1,"share":0.5}],"query":"paracetamol"})";
+constexpr const char* kQuery =
+    R"({"targets":[{"partition":0,"share":0.5},{"partition":1,"share":0.5}],"query":"paracetamol"})";
 
-// What stands around the program: two stock nodes and their discovery, two feature servers, two gRPC backends.
+// What stands around the program: two stock nodes and their discovery, two feature servers, two gRPC
+// backends.
 struct World {
   explicit World(net::Loop& loop)
       : node1(loop, nodes, lab::Fault::none),
@@ -90,22 +92,27 @@
 }
 
 std::string post(const std::string& id) {
-  return fmt::format("POST /wide-search HTTP/1.1\r\nHost: demo\r\nReq-Id: {}\r\nReq-Owner: demo-team\r\nReq-Deadline: 2\r\n"
-                     "Content-Length: {}\r\n\r\n{}",
-                     id, std::string(kQuery).size(), kQuery);
+  return fmt::format(
+      "POST /wide-search HTTP/1.1\r\nHost: demo\r\nReq-Id: {}\r\nReq-Owner: demo-team\r\nReq-Deadline: 2\r\n"
+      "Content-Length: {}\r\n\r\n{}",
+      id, std::string(kQuery).size(), kQuery);
 }
 
 void explainHow(const Addresses& at) {
   std::cout << "\nIt serves until Ctrl-C. Try, in another terminal:\n"
             << fmt::format("  curl -s http://{}/counters\n", at.platform)
-            << fmt::format("  curl -s -H 'Req-Id: q1' -H 'Req-Owner: demo-team' -H 'Req-Deadline: 2' -d '{}' "
-                           "http://{}/wide-search\n",
-                           kQuery, at.platform)
+            << fmt::format(
+                   "  curl -s -H 'Req-Id: q1' -H 'Req-Owner: demo-team' -H 'Req-Deadline: 2' -d '{}' "
+                   "http://{}/wide-search\n",
+                   kQuery, at.platform)
             << fmt::format("  curl -s 'http://{}/collections/branches/items?limit=5'\n", at.features)
-            << fmt::format("  printf '\\0\\0\\0\\0\\005hello' | curl -s --http2-prior-knowledge -H 'content-type: application/grpc' "
-                           "-H 'te: trailers' --data-binary @- --output - http://{}/dawa.Catalogue/Search\n",
-                           at.grpc)
-            << fmt::format("  snmpwalk -v2c -c public {} 1.3.6.1.4.1.8072.9999.9999.4711\n", at.snmp) << std::flush;
+            << fmt::format(
+                   "  printf '\\0\\0\\0\\0\\005hello' | curl -s --http2-prior-knowledge -H 'content-type: "
+                   "application/grpc' "
+                   "-H 'te: trailers' --data-binary @- --output - http://{}/dawa.Catalogue/Search\n",
+                   at.grpc)
+            << fmt::format("  snmpwalk -v2c -c public {} 1.3.6.1.4.1.8072.9999.9999.4711\n", at.snmp)
+            << std::flush;
 }
 
 }  // namespace
@@ -158,7 +165,8 @@
     queries[next].second([&](const std::string& answer) {
       const bool again = answer.empty() && tries < 40;
       if (!again) {
-        std::cout << fmt::format("{:<9} {}\n", queries[next].first, answer.empty() ? "NO ANSWER" : answer) << std::flush;
+        std::cout << fmt::format("{:<9} {}\n", queries[next].first, answer.empty() ? "NO ANSWER" : answer)
+                  << std::flush;
         if (answer.empty()) ++wrong;
         ++next, tries = 0;
       }
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -19,13 +19,15 @@
 
 Parsed parse(int count, char** words) {
   Options o;
-  CLI::App app("topazweir: a broker between the services of many teams\n"
-               "Without a sub-command it runs, as with `run`.",
-               "topazweir");
+  CLI::App app(
+      "topazweir: a broker between the services of many teams\n"
+      "Without a sub-command it runs, as with `run`.",
+      "topazweir");
   app.set_version_flag("--version", std::string("topazweir ") + kVersion);
   app.require_subcommand(0, 1);
-  app.footer("Exit codes: 0 well, 1 a failure while running, 2 wrong use or a wrong file.\n"
-             "Signals while it runs: TERM drains and ends, HUP rereads the files, USR1 prints the counters.");
+  app.footer(
+      "Exit codes: 0 well, 1 a failure while running, 2 wrong use or a wrong file.\n"
+      "Signals while it runs: TERM drains and ends, HUP rereads the files, USR1 prints the counters.");
   addRunOptions(app, o);
 
   auto* run = app.add_subcommand("run", "serve until SIGTERM");
@@ -35,11 +37,14 @@
   check->add_option("--config", o.config, "the platform's configuration it is used with");
   auto* explain = app.add_subcommand("explain", "which route, pool and limits a call would get, and why");
   explain->add_option("FILE", o.file, "the operator file (HCL)")->required();
-  explain->add_option("REQUEST", o.request, "/package.Service/Method, then metadata as key=value")->required();
+  explain->add_option("REQUEST", o.request, "/package.Service/Method, then metadata as key=value")
+      ->required();
   explain->add_option("--authority", o.authority, "the call's :authority");
   explain->add_option("--config", o.config, "the platform's configuration it is used with");
-  auto* demo = app.add_subcommand("demo", "everything on loopback in one process, with stand-ins, until Ctrl-C");
-  demo->add_option("--port", o.port, "the first of five ports; 0: any that are free")->check(CLI::Range(0, 65530));
+  auto* demo =
+      app.add_subcommand("demo", "everything on loopback in one process, with stand-ins, until Ctrl-C");
+  demo->add_option("--port", o.port, "the first of five ports; 0: any that are free")
+      ->check(CLI::Range(0, 65530));
   demo->add_flag("--once", o.once, "send one query through each front, then end");
 
   try {
--- a/src/cli/options.hpp
+++ b/src/cli/options.hpp
@@ -9,15 +9,15 @@
 
 struct Options {
   enum class Command { run, check, explain, demo } command = Command::run;
-  std::string config;        // the platform's file; empty: NODE_CONFIG's
-  std::string operatorFile;  // empty: none
+  std::string config;                      // the platform's file; empty: NODE_CONFIG's
+  std::string operatorFile;                // empty: none
   std::string platformText, operatorText;  // in place of these two files; set by the demo alone
-  std::string features, snmp;  // files of one front each, as before the operator file
-  std::string file;            // check, explain
-  std::vector<std::string> request;  // explain: the path, then "key: value" or "key=value"
+  std::string features, snmp;              // files of one front each, as before the operator file
+  std::string file;                        // check, explain
+  std::vector<std::string> request;        // explain: the path, then "key: value" or "key=value"
   std::string authority;
-  int port = 0;              // demo: the first of its ports; 0: any that are free
-  bool once = false;         // demo: ask and end
+  int port = 0;       // demo: the first of its ports; 0: any that are free
+  bool once = false;  // demo: ask and end
 };
 
 // The wishes; or the exit code after help, the version or a fault has been printed.
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -42,9 +42,22 @@
 snmp::CallFigures callFigures(const grpc::Side& side) {
   const auto& f = side.front().counters();
   const auto c = side.counters();
-  snmp::CallFigures out{f.calls,     f.malformed, f.unrouted, f.shed,     f.cancelled, f.floods,
-                        f.health,    f.cutAtDrain, c.answered, c.refused, c.failed,    c.furtherAttempts,
-                        side.open(), side.front().connections(), side.front().streams(), side.front().pressure().held,
+  snmp::CallFigures out{f.calls,
+                        f.malformed,
+                        f.unrouted,
+                        f.shed,
+                        f.cancelled,
+                        f.floods,
+                        f.health,
+                        f.cutAtDrain,
+                        c.answered,
+                        c.refused,
+                        c.failed,
+                        c.furtherAttempts,
+                        side.open(),
+                        side.front().connections(),
+                        side.front().streams(),
+                        side.front().pressure().held,
                         {}};
   for (int code = 0; code < calls::kCodes; ++code)
     out.statuses.push_back({std::string(calls::nameOf(static_cast<calls::Code>(code))),
@@ -74,7 +87,8 @@
   if (!options.operatorFile.empty())
     out = config::readOperator(config::readFile(options.operatorFile), options.operatorFile, platform);
   const auto once = [](bool there, const char* key, const char* option) {
-    if (there) throw config::ConfigError(std::string("key ") + key + ": given in the operator file and by " + option);
+    if (there)
+      throw config::ConfigError(std::string("key ") + key + ": given in the operator file and by " + option);
   };
   if (!options.features.empty()) {
     once(out.features.has_value(), "features", "--features");
@@ -102,7 +116,9 @@
   if (operator_.grpc) grpc_.emplace(loop_, log_, *operator_.grpc);
   if (operator_.snmp)
     snmp_.emplace(loop_, log_, *operator_.snmp, [this] {
-      const auto* broker = platform_ ? &platform_->broker() : features_ ? &features_->broker() : &grpc_->core().broker();
+      const auto* broker = platform_   ? &platform_->broker()
+                           : features_ ? &features_->broker()
+                                       : &grpc_->core().broker();
       const auto rows = platform_ ? nodeRows(platform_->directory()) : std::vector<snmp::NodeRow>{};
       const auto figures = grpc_ ? std::optional(callFigures(*grpc_)) : std::nullopt;
       return snmp::take(*broker, rows, figures ? &*figures : nullptr);
@@ -123,7 +139,8 @@
   try {
     auto fresh = readPlatform(options_);
     if (!fresh) return;
-    for (const auto& key : platform_->reload(std::move(*fresh))) log_.line("config.needs_restart", "key " + key);
+    for (const auto& key : platform_->reload(std::move(*fresh)))
+      log_.line("config.needs_restart", "key " + key);
     base_ = platform_->config();
     log_.line("config.reread", base_.name + " discovery=" + base_.discovery);
   } catch (const config::ConfigError& error) {
@@ -145,13 +162,16 @@
     }
     if (features_.has_value() != fresh.features.has_value() || grpc_.has_value() != fresh.grpc.has_value() ||
         snmp_.has_value() != fresh.snmp.has_value())
-      log_.line("operator.needs_restart", "key " + std::string("features, grpc or snmp: a block has come or gone"));
+      log_.line("operator.needs_restart",
+                "key " + std::string("features, grpc or snmp: a block has come or gone"));
     // From here on nothing fails.
     writer_.use(fresh.log);
     if (features_) features_->told(fresh.features->groups);
     if (grpc_ && fresh.grpc)
-      for (const auto& key : grpc_->reload(std::move(*fresh.grpc))) log_.line("operator.needs_restart", "key " + key);
-    log_.line(alone ? "features.reread" : "operator.reread", alone ? options_.features : options_.operatorFile);
+      for (const auto& key : grpc_->reload(std::move(*fresh.grpc)))
+        log_.line("operator.needs_restart", "key " + key);
+    log_.line(alone ? "features.reread" : "operator.reread",
+              alone ? options_.features : options_.operatorFile);
   } catch (const config::ConfigError& error) {
     log_.line(alone ? "features.reread_failed" : "operator.reread_failed", error.what());
   }
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -16,8 +16,8 @@
 
 namespace topazweir::cli {
 
-// The platform's configuration, and where it says so the address of NODE_LISTEN; without a file NODE_CONFIG's; none:
-// there is no such part.
+// The platform's configuration, and where it says so the address of NODE_LISTEN; without a file
+// NODE_CONFIG's; none: there is no such part.
 std::optional<config::Config> readPlatform(const Options& options);
 // What the operator file (and the files of single fronts) say, on top of the platform's part or without one.
 config::Operator readOperatorFiles(const Options& options, const config::Config& platform);
@@ -51,8 +51,8 @@
   bool ending_ = false;
 };
 
-// The signals that the program handles are blocked and asked for: nothing runs in a signal's context. To be called
-// before any thread is started.
+// The signals that the program handles are blocked and asked for: nothing runs in a signal's context. To be
+// called before any thread is started.
 void blockSignals();
 
 int run(const Options& options);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -24,8 +24,8 @@
 // The platform's configuration. Throws ConfigError.
 Config read(std::string_view json);
 
-// The keys in which a fresh configuration differs from the running one and that only a restart applies; as the
-// rest of `fresh` is applied, they are set back in it to what is running.
+// The keys in which a fresh configuration differs from the running one and that only a restart applies; as
+// the rest of `fresh` is applied, they are set back in it to what is running.
 std::vector<std::string> keepUntilRestart(const Config& running, Config& fresh);
 
 std::string readFile(const std::string& path);
--- a/src/config/grpc_config.hpp
+++ b/src/config/grpc_config.hpp
@@ -17,7 +17,7 @@
 struct GrpcPool {
   std::string name;
   int shards = 1;
-  std::string shardBy;  // the metadata key whose value is hashed; empty: one shard
+  std::string shardBy;          // the metadata key whose value is hashed; empty: one shard
   std::size_t connections = 2;  // to one backend, at most
   std::size_t streams = 100;    // on one of them, if the backend allows as many
   std::size_t queue = 100;      // calls that may wait for a stream to one backend
@@ -29,18 +29,18 @@
   std::string name;
   calls::Match match;
   std::size_t pool = 0;
-  int queryClass = 0;     // among those of the pool
-  QueryClass limits;      // aim, deadline, effect, attempts: the route's class in the core
+  int queryClass = 0;  // among those of the pool
+  QueryClass limits;   // aim, deadline, effect, attempts: the route's class in the core
   calls::Policy policy;
 };
 
 struct Grpc {
   std::string listen;
-  std::size_t connections = 0;    // of clients
-  std::size_t streams = 0;        // that a client may have open on one
+  std::size_t connections = 0;  // of clients
+  std::size_t streams = 0;      // that a client may have open on one
   std::size_t headBytes = 0;
-  std::size_t bufferBytes = 0;    // of all calls together, each way
-  int window = 0;                 // bytes of a stream that may come unread
+  std::size_t bufferBytes = 0;  // of all calls together, each way
+  int window = 0;               // bytes of a stream that may come unread
   Nanos connectTimeout = 0, idle = 0, drain = 0, keepalive = 0, openAfter = 0;
   bool logCalls = false;
   std::vector<GrpcPool> pools;
--- a/src/config/hcl.cpp
+++ b/src/config/hcl.cpp
@@ -1,10 +1,9 @@
 // The grammar of operator files. PEGTL's rules build the tree from the bottom: a value is put into the
 // container that is open on top of the stack.
-#include <tao/pegtl.hpp>
-
 #include <charconv>
 #include <cmath>
 #include <optional>
+#include <tao/pegtl.hpp>
 
 #include "config/tree.hpp"
 
@@ -118,7 +117,8 @@
 
 // ---- the grammar ----
 
-struct LineComment : peg::seq<peg::sor<peg::one<'#'>, peg::string<'/', '/'>>, peg::until<peg::at<peg::eolf>>> {};
+struct LineComment
+    : peg::seq<peg::sor<peg::one<'#'>, peg::string<'/', '/'>>, peg::until<peg::at<peg::eolf>>> {};
 struct CommentEnd : peg::until<peg::string<'*', '/'>> {};
 struct BlockComment : peg::if_must<peg::string<'/', '*'>, CommentEnd> {};
 struct Blank : peg::sor<peg::one<' ', '\t'>, BlockComment> {};
@@ -126,7 +126,8 @@
 struct Line : peg::sor<peg::eol, peg::seq<LineComment, peg::opt<peg::eol>>> {};
 struct Space : peg::star<peg::sor<Blank, Line>> {};  // where newlines do not count
 
-struct Word : peg::seq<peg::sor<peg::alpha, peg::one<'_'>>, peg::star<peg::sor<peg::alnum, peg::one<'_', '-'>>>> {};
+struct Word
+    : peg::seq<peg::sor<peg::alpha, peg::one<'_'>>, peg::star<peg::sor<peg::alnum, peg::one<'_', '-'>>>> {};
 struct Name : Word {};
 struct Type : Word {};
 struct LabelWord : Word {};
@@ -134,7 +135,8 @@
 struct ShortEscape : peg::one<'n', 'r', 't', '"', '\\'> {};
 struct Unicode4 : peg::rep<4, peg::xdigit> {};
 struct Unicode8 : peg::rep<8, peg::xdigit> {};
-struct EscapeRest : peg::sor<ShortEscape, peg::seq<peg::one<'u'>, Unicode4>, peg::seq<peg::one<'U'>, Unicode8>> {};
+struct EscapeRest
+    : peg::sor<ShortEscape, peg::seq<peg::one<'u'>, Unicode4>, peg::seq<peg::one<'U'>, Unicode8>> {};
 struct Escape : peg::if_must<peg::one<'\\'>, EscapeRest> {};
 struct Doubled : peg::sor<peg::string<'$', '$', '{'>, peg::string<'%', '%', '{'>> {};
 struct NoTemplate : peg::not_at<peg::sor<peg::string<'$', '{'>, peg::string<'%', '{'>>> {};
@@ -145,12 +147,12 @@
 struct Quoted : peg::seq<QuoteOpen, peg::star<peg::not_at<peg::one<'"'>>, Char>, peg::must<QuoteClose>> {};
 
 struct Digits : peg::plus<peg::digit> {};
-struct Number
-    : peg::seq<peg::opt<peg::one<'-'>>, Digits, peg::opt<peg::one<'.'>, Digits>,
-               peg::opt<peg::one<'e', 'E'>, peg::opt<peg::one<'+', '-'>>, Digits>,
-               peg::not_at<peg::sor<peg::alnum, peg::one<'_', '.'>>>> {};
+struct Number : peg::seq<peg::opt<peg::one<'-'>>, Digits, peg::opt<peg::one<'.'>, Digits>,
+                         peg::opt<peg::one<'e', 'E'>, peg::opt<peg::one<'+', '-'>>, Digits>,
+                         peg::not_at<peg::sor<peg::alnum, peg::one<'_', '.'>>>> {};
 template <char... C>
-struct Keyword : peg::seq<peg::string<C...>, peg::not_at<peg::sor<peg::alnum, peg::one<'_', '-', '.', '('>>>> {};
+struct Keyword
+    : peg::seq<peg::string<C...>, peg::not_at<peg::sor<peg::alnum, peg::one<'_', '-', '.', '('>>>> {};
 struct True : Keyword<'t', 'r', 'u', 'e'> {};
 struct False : Keyword<'f', 'a', 'l', 's', 'e'> {};
 struct Null : Keyword<'n', 'u', 'l', 'l'> {};
@@ -165,7 +167,8 @@
 struct ObjectOpen : peg::one<'{'> {};
 struct ObjectClose : peg::one<'}'> {};
 struct Equals : peg::one<'=', ':'> {};
-struct ItemEnd : peg::sor<peg::seq<Blanks, peg::one<','>>, peg::seq<Blanks, Line>, peg::seq<Blanks, peg::at<ObjectClose>>> {};
+struct ItemEnd : peg::sor<peg::seq<Blanks, peg::one<','>>, peg::seq<Blanks, Line>,
+                          peg::seq<Blanks, peg::at<ObjectClose>>> {};
 struct Item : peg::if_must<peg::sor<Name, KeyText>, Blanks, Equals, Space, Value, ItemEnd> {};
 struct Object : peg::if_must<ObjectOpen, Space, peg::star<Item, Space>, ObjectClose> {};
 struct Value : peg::sor<Text, Number, True, False, Null, List, Object> {};
@@ -188,19 +191,33 @@
 
 template <class Rule>
 inline constexpr const char* kSaid = "malformed";
-template <> inline constexpr const char* kSaid<CommentEnd> = "a comment /* that never ends";
-template <> inline constexpr const char* kSaid<EscapeRest> = "an unknown escape in a string";
-template <> inline constexpr const char* kSaid<NoTemplate> = "templates are not supported: write $${ or %%{ for the characters";
-template <> inline constexpr const char* kSaid<QuoteClose> = "a string that never ends";
-template <> inline constexpr const char* kSaid<ListClose> = "expected a value, ',' or ']'";
-template <> inline constexpr const char* kSaid<Equals> = "expected '=' after the key";
-template <> inline constexpr const char* kSaid<Value> = "expected a text, number, true, false, null, [ or {";
-template <> inline constexpr const char* kSaid<ItemEnd> = "expected ',', a new line or '}' after the value";
-template <> inline constexpr const char* kSaid<ObjectClose> = "expected a key or '}'";
-template <> inline constexpr const char* kSaid<BlockOpen> = "expected '=', a label or '{' after the name";
-template <> inline constexpr const char* kSaid<BlockClose> = "expected a name or '}'";
-template <> inline constexpr const char* kSaid<EntryEnd> = "expected a new line after the value";
-template <> inline constexpr const char* kSaid<End> = "expected a name";
+template <>
+inline constexpr const char* kSaid<CommentEnd> = "a comment /* that never ends";
+template <>
+inline constexpr const char* kSaid<EscapeRest> = "an unknown escape in a string";
+template <>
+inline constexpr const char* kSaid<NoTemplate> =
+    "templates are not supported: write $${ or %%{ for the characters";
+template <>
+inline constexpr const char* kSaid<QuoteClose> = "a string that never ends";
+template <>
+inline constexpr const char* kSaid<ListClose> = "expected a value, ',' or ']'";
+template <>
+inline constexpr const char* kSaid<Equals> = "expected '=' after the key";
+template <>
+inline constexpr const char* kSaid<Value> = "expected a text, number, true, false, null, [ or {";
+template <>
+inline constexpr const char* kSaid<ItemEnd> = "expected ',', a new line or '}' after the value";
+template <>
+inline constexpr const char* kSaid<ObjectClose> = "expected a key or '}'";
+template <>
+inline constexpr const char* kSaid<BlockOpen> = "expected '=', a label or '{' after the name";
+template <>
+inline constexpr const char* kSaid<BlockClose> = "expected a name or '}'";
+template <>
+inline constexpr const char* kSaid<EntryEnd> = "expected a new line after the value";
+template <>
+inline constexpr const char* kSaid<End> = "expected a name";
 
 struct Say {
   template <class Rule>
@@ -216,13 +233,13 @@
 template <class Rule>
 struct Action : peg::nothing<Rule> {};
 
-#define TOPAZWEIR_ON(RULE)               \
-  template <>                            \
-  struct Action<RULE> {                  \
-    template <class Input>               \
-    static void apply(const Input& in, Builder& b);  \
-  };                                     \
-  template <class Input>                 \
+#define TOPAZWEIR_ON(RULE)                          \
+  template <>                                       \
+  struct Action<RULE> {                             \
+    template <class Input>                          \
+    static void apply(const Input& in, Builder& b); \
+  };                                                \
+  template <class Input>                            \
   void Action<RULE>::apply([[maybe_unused]] const Input& in, [[maybe_unused]] Builder& b)
 
 TOPAZWEIR_ON(Name) { b.expect(in.string(), b.at(in)); }
--- a/src/config/operator_config.cpp
+++ b/src/config/operator_config.cpp
@@ -12,7 +12,8 @@
   Operator out;
   if (const auto log = reader.object("log")) {
     out.log.format = static_cast<telemetry::Format>(log->choice("format", {"text", "json"}, 0));
-    out.log.level = static_cast<telemetry::Level>(log->choice("level", {"debug", "info", "warning", "error"}, 1));
+    out.log.level =
+        static_cast<telemetry::Level>(log->choice("level", {"debug", "info", "warning", "error"}, 1));
     out.log.time = log->flag("time", false);
   }
   if (const auto features = reader.object("features")) out.features = readFeatures(*features, platform);
--- a/src/config/operator_config.hpp
+++ b/src/config/operator_config.hpp
@@ -1,4 +1,5 @@
-// The one file in which operators say what runs beside the platform's part: read whole, checked and given defaults.
+// The one file in which operators say what runs beside the platform's part: read whole, checked and given
+// defaults.
 #pragma once
 
 #include <optional>
@@ -21,8 +22,8 @@
   std::vector<Setting> settings;  // the effective ones, in the order in which they were read
 };
 
-// `platform`: whose rules and seed are kept. `file`: what errors name. Throws ConfigError, naming file, line, column
-// and key; a key that is not known is an error, too.
+// `platform`: whose rules and seed are kept. `file`: what errors name. Throws ConfigError, naming file, line,
+// column and key; a key that is not known is an error, too.
 Operator readOperator(std::string_view hcl, const std::string& file, const Config& platform);
 
 // What stands for the platform's part where there is none: the rules of docs/, without a platform's figures.
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -24,8 +24,7 @@
     case Type::OBJECT: {
       Node::Object object;
       const simdjson::dom::object members = element.get_object().value_unsafe();
-      for (const auto [key, value] : members)
-        object.push_back({std::string(key), {}, fromJson(value)});
+      for (const auto [key, value] : members) object.push_back({std::string(key), {}, fromJson(value)});
       return {std::move(object), {}};
     }
     case Type::INT64:
@@ -97,8 +96,7 @@
 }
 
 std::string Reader::where(const Node& node) const {
-  return node.mark.line == 0 ? ""
-                             : fmt::format("{}:{}:{}: ", notes_->file, node.mark.line, node.mark.column);
+  return node.mark.line == 0 ? "" : fmt::format("{}:{}:{}: ", notes_->file, node.mark.line, node.mark.column);
 }
 
 void Reader::fail(std::string_view path, std::string_view what) const {
@@ -218,7 +216,8 @@
   return out;
 }
 
-std::vector<std::int64_t> Reader::integers(std::string_view path, std::int64_t least, std::int64_t most) const {
+std::vector<std::int64_t> Reader::integers(std::string_view path, std::int64_t least,
+                                           std::int64_t most) const {
   std::vector<std::int64_t> out;
   const auto* all = list(path);
   if (!all) return out;
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -1,6 +1,6 @@
-// Reads values of one configuration file by the path of their keys, "limits.sockets". Errors name that path, and
-// the place where the syntax has places. Notes what was asked for, so that a key nobody asked for is found, and
-// what came of it, for `topazweir check`.
+// Reads values of one configuration file by the path of their keys, "limits.sockets". Errors name that path,
+// and the place where the syntax has places. Notes what was asked for, so that a key nobody asked for is
+// found, and what came of it, for `topazweir check`.
 #pragma once
 
 #include <map>
@@ -24,8 +24,8 @@
 
 class Reader {
  public:
-  // `node` must outlive the reader and those it gives out. `file`: what errors name; empty where the node's marks
-  // mean nothing.
+  // `node` must outlive the reader and those it gives out. `file`: what errors name; empty where the node's
+  // marks mean nothing.
   explicit Reader(const Node& node, std::string prefix = {}, std::string file = {});
 
   [[noreturn]] void fail(std::string_view path, std::string_view what) const;
@@ -43,7 +43,7 @@
   // One of the words, by its place among them.
   std::size_t choice(std::string_view path, const std::vector<std::string_view>& words,
                      std::optional<std::size_t> absent = {}) const;
-  std::vector<Reader> objects(std::string_view path) const;  // a list of objects, or blocks of that type
+  std::vector<Reader> objects(std::string_view path) const;   // a list of objects, or blocks of that type
   std::optional<Reader> object(std::string_view path) const;  // one object, or one block; two are a fault
   std::vector<std::string> texts(std::string_view path) const;
   std::vector<std::int64_t> integers(std::string_view path, std::int64_t least, std::int64_t most) const;
--- a/src/config/tree.hpp
+++ b/src/config/tree.hpp
@@ -48,9 +48,9 @@
 Node readJson(std::string_view text);
 // One member of a JSON object as text, without blanks; empty where there is none.
 std::string jsonMember(std::string_view text, std::string_view key);
-// HCL native syntax, literals only: attributes, labelled blocks, lists, objects, comments of the three forms and
-// escapes (https://github.com/hashicorp/hcl, "HCL Native Syntax Specification"); no templates, heredocs or
-// expressions. A block becomes an object in the list under its type; its label becomes the member "name".
+// HCL native syntax, literals only: attributes, labelled blocks, lists, objects, comments of the three forms
+// and escapes (https://github.com/hashicorp/hcl, "HCL Native Syntax Specification"); no templates, heredocs
+// or expressions. A block becomes an object in the list under its type; its label becomes the member "name".
 // `file` is what errors name: "FILE:LINE:COLUMN: what".
 Node readHcl(std::string_view text, const std::string& file);
 
--- a/src/features/backend.hpp
+++ b/src/features/backend.hpp
@@ -12,8 +12,8 @@
 #include "broker/log.hpp"
 #include "broker/ports.hpp"
 #include "config/features_config.hpp"
-#include "net/connection.hpp"
 #include "http/message.hpp"
+#include "net/connection.hpp"
 
 namespace topazweir::features {
 
--- a/src/features/geojson.cpp
+++ b/src/features/geojson.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-using telemetry::jsonText;
 using simdjson::SUCCESS;
+using telemetry::jsonText;
 
 bool typeIs(const simdjson::dom::element& value, std::string_view type) {
   std::string_view found;
--- a/src/grpc/backend.cpp
+++ b/src/grpc/backend.cpp
@@ -35,7 +35,8 @@
 
 }  // namespace
 
-Backend::Backend(net::Loop& loop, broker::Log& log, const Exchanges& exchanges, const config::Grpc& config, Core core)
+Backend::Backend(net::Loop& loop, broker::Log& log, const Exchanges& exchanges, const config::Grpc& config,
+                 Core core)
     : loop_(loop),
       log_(log),
       exchanges_(exchanges),
@@ -96,8 +97,8 @@
   if (choice.kind == calls::LinkChoice::Kind::none) return nullptr;
   auto link = std::make_unique<Link>();
   link->address = server.address;
-  link->session = http2::Session::connect(loop_, Poco::Net::SocketAddress(server.address), connectTimeout_, limits_,
-                                          *this);
+  link->session = http2::Session::connect(loop_, Poco::Net::SocketAddress(server.address), connectTimeout_,
+                                          limits_, *this);
   link->idleSince = loop_.now();
   ++counters_.connectionsOpened;
   auto* raw = link.get();
@@ -120,7 +121,8 @@
   stream.id = id;
   stream.server = order.server;
   if (!open(stream, server->second)) {
-    // Waits its turn, as it would at the server; only so many, or the queue would be longer than anybody's patience.
+    // Waits its turn, as it would at the server; only so many, or the queue would be longer than anybody's
+    // patience.
     auto& queue = waiting_[server->second.address];
     if (queue.size() >= server->second.queue) return end(id, {.ending = Ending::noStream});
     queue.push_back(id);
@@ -195,14 +197,15 @@
   const auto next = exchange->call.ended(id.attempt, how, std::move(trailers), exchange->due - loop_.now());
   const bool whole = how.ending == Ending::trailers;
   // Over on both sides, or to be called off: a request that is not yet sent whole would stay open for ever.
-  const bool over = (whole && at->second.sentEnd) || how.ending == Ending::resetByPeer || how.ending == Ending::aboveGoaway;
+  const bool over =
+      (whole && at->second.sentEnd) || how.ending == Ending::resetByPeer || how.ending == Ending::aboveGoaway;
   if (!whole) {
     const auto words = calls::verdictOf(how).words;
     exchange->lastWhy = words;
-    log_.line("grpc.attempt_failed", fmt::format("call={} backend={} outcome={} http2={} why={}", exchange->id,
-                                                 exchange->lastBackend,
-                                                 broker::kOutcomeNames[static_cast<std::size_t>(next.outcome)],
-                                                 how.http2, words));
+    log_.line(
+        "grpc.attempt_failed",
+        fmt::format("call={} backend={} outcome={} http2={} why={}", exchange->id, exchange->lastBackend,
+                    broker::kOutcomeNames[static_cast<std::size_t>(next.outcome)], how.http2, words));
   }
   drop(at->second, over ? kNoError : kCancel);
   report(id, next);
@@ -235,7 +238,8 @@
   auto& e = *stream->exchange;
   if (head.empty()) return end(stream->id, {.ending = Ending::tooLarge});
   const auto status = calls::readCode(calls::find(head, "grpc-status").value_or(""));
-  if (final && status) return end(stream->id, {.ending = Ending::trailers, .status = status}, std::move(head));
+  if (final && status)
+    return end(stream->id, {.ending = Ending::trailers, .status = status}, std::move(head));
   const auto http = calls::find(head, ":status").value_or("");
   if (http != "200" || !isGrpc(head)) {
     Ended how{.ending = Ending::badResponse};
@@ -293,8 +297,8 @@
   if (at == links_.end()) return;
   auto& link = *at->second;
   ++counters_.goaways;
-  log_.line("grpc.backend_goaway", fmt::format("backend={} last={} code={} streams={}", link.address, last, code,
-                                               link.streams.size()));
+  log_.line("grpc.backend_goaway", fmt::format("backend={} last={} code={} streams={}", link.address, last,
+                                               code, link.streams.size()));
   link.goaway = true;
   link.lastServed = last;
 }
@@ -307,12 +311,13 @@
   out.size = e.call.request().read(stream->taken, to, most);
   stream->taken += out.size;
   const bool all = stream->taken == e.call.request().end();
-  out.then = !all                      ? http2::Pulled::Then::more
-             : e.call.requestEnded()   ? http2::Pulled::Then::end
-                                       : http2::Pulled::Then::wait;
+  out.then = !all                    ? http2::Pulled::Then::more
+             : e.call.requestEnded() ? http2::Pulled::Then::end
+                                     : http2::Pulled::Then::wait;
   stream->sentEnd = out.then == http2::Pulled::Then::end;
   if (e.call.committed() == stream->id.attempt)
-    if (const auto more = e.call.requestTaken(stream->taken); more > 0 && e.client) e.client->requestTaken(e, more);
+    if (const auto more = e.call.requestTaken(stream->taken); more > 0 && e.client)
+      e.client->requestTaken(e, more);
   return out;
 }
 
@@ -354,8 +359,8 @@
   if (at == links_.end()) return;
   auto& link = *at->second;
   if (how != net::ConnectionEnd::closedHere)
-    log_.line("grpc.backend_gone",
-              fmt::format("backend={} end={} streams={}", link.address, net::nameOf(how), link.streams.size()));
+    log_.line("grpc.backend_gone", fmt::format("backend={} end={} streams={}", link.address, net::nameOf(how),
+                                               link.streams.size()));
   const auto streams = std::exchange(link.streams, {});
   auto& links = byAddress_[link.address];
   std::erase(links, &link);
@@ -364,9 +369,10 @@
   for (const auto& [id, attempt] : streams) {
     const bool written = session.headWritten(id);
     const bool never = link.goaway && id > link.lastServed;
-    ended.push_back({attempt, {.ending = never     ? Ending::aboveGoaway
-                                         : written ? Ending::lostAfter
-                                                   : Ending::lostBefore}});
+    ended.push_back({attempt,
+                     {.ending = never     ? Ending::aboveGoaway
+                                : written ? Ending::lostAfter
+                                          : Ending::lostBefore}});
     if (const auto s = streams_.find(attempt); s != streams_.end()) s->second.link = nullptr;
   }
   const auto address = link.address;
@@ -390,7 +396,8 @@
   for (const auto& [id, server] : servers_) named.insert(server.address);
   std::vector<http2::Session*> idle;
   for (const auto& [session, link] : links_) {
-    const bool spare = loop_.now() - link->idleSince > idle_ || named.count(link->address) == 0 || link->goaway;
+    const bool spare =
+        loop_.now() - link->idleSince > idle_ || named.count(link->address) == 0 || link->goaway;
     if (link->streams.empty() && session->up() && spare) idle.push_back(session);
   }
   while (!waiting_.empty() && waiting_.begin()->second.empty()) waiting_.erase(waiting_.begin());
--- a/src/grpc/backend.hpp
+++ b/src/grpc/backend.hpp
@@ -1,5 +1,5 @@
-// The core's backend on gRPC servers: an attempt is a stream on a pooled HTTP/2 connection (plaintext with prior
-// knowledge, RFC 9113 section 3.3).
+// The core's backend on gRPC servers: an attempt is a stream on a pooled HTTP/2 connection (plaintext with
+// prior knowledge, RFC 9113 section 3.3).
 #pragma once
 
 #include <deque>
@@ -29,7 +29,8 @@
     std::function<bool(const broker::AttemptId&, bool heard)> began;
     std::function<void(const broker::AttemptId&, Outcome, broker::Verdict)> settle;
   };
-  Backend(net::Loop& loop, broker::Log& log, const Exchanges& exchanges, const config::Grpc& config, Core core);
+  Backend(net::Loop& loop, broker::Log& log, const Exchanges& exchanges, const config::Grpc& config,
+          Core core);
   ~Backend() override;
 
   // The servers as the module is to know them; a server's number stays the same for an address and shard.
@@ -100,7 +101,8 @@
   std::unordered_map<http2::Session*, std::unique_ptr<Link>> links_;
   std::map<std::string, std::vector<Link*>, std::less<>> byAddress_;
   std::map<broker::AttemptId, Stream> streams_;
-  std::map<std::string, std::deque<broker::AttemptId>, std::less<>> waiting_;  // by address; bounded by `queue`
+  std::map<std::string, std::deque<broker::AttemptId>, std::less<>>
+      waiting_;                         // by address; bounded by `queue`
   std::set<net::Loop::TimerId> waits_;  // until a backend's pushback is over
   net::Loop::TimerId sweepTimer_;
   BackendCounters counters_;
--- a/src/grpc/core.hpp
+++ b/src/grpc/core.hpp
@@ -1,7 +1,7 @@
-// The core of one pool with its backend: a bulkhead, since what the decision module learns of delays and health
-// holds for servers of one kind. It stands for one shape of the configuration (the pool's classes and shards, which
-// the module is built from); a reload that changes that starts another one beside it, and this one ends with its
-// last call.
+// The core of one pool with its backend: a bulkhead, since what the decision module learns of delays and
+// health holds for servers of one kind. It stands for one shape of the configuration (the pool's classes and
+// shards, which the module is built from); a reload that changes that starts another one beside it, and this
+// one ends with its last call.
 #pragma once
 
 #include <functional>
@@ -17,21 +17,25 @@
   // Called once for each call taken, after it has left `exchanges`.
   using Finished = std::function<void(Exchange&, const broker::FinalAnswer&)>;
 
-  Core(net::Loop& loop, broker::Log& log, const config::Grpc& config, const config::GrpcPool& pool, Finished finished)
+  Core(net::Loop& loop, broker::Log& log, const config::Grpc& config, const config::GrpcPool& pool,
+       Finished finished)
       : shape_(shapeOf(config, pool)),
         finished_(std::move(finished)),
         clock_(loop, [this] { broker_.wake(); }),
-        backend_(loop, log, exchanges_, config,
-                 {[this](const auto& id, auto outcome) { broker_.attemptEnded(id, outcome); },
-                  [this](const auto& id, bool heard) { return broker_.attemptBegan(id, heard); },
-                  [this](const auto& id, auto outcome, auto verdict) { broker_.settle(id, outcome, verdict); }}),
+        backend_(
+            loop, log, exchanges_, config,
+            {[this](const auto& id, auto outcome) { broker_.attemptEnded(id, outcome); },
+             [this](const auto& id, bool heard) { return broker_.attemptBegan(id, heard); },
+             [this](const auto& id, auto outcome, auto verdict) { broker_.settle(id, outcome, verdict); }}),
         broker_(pool.terms, clock_, backend_, log) {
     told(pool);
   }
 
   void told(const config::GrpcPool& pool) { broker_.told(backend_.servers(pool, ListNews::Scope::full)); }
   // Whether it can go on under this configuration, told of the servers alone.
-  bool fits(const config::Grpc& config, const config::GrpcPool& pool) const { return shape_ == shapeOf(config, pool); }
+  bool fits(const config::Grpc& config, const config::GrpcPool& pool) const {
+    return shape_ == shapeOf(config, pool);
+  }
   // What is wrong with the request, if anything; else the call has begun and `exchange` has its number.
   std::optional<std::string> take(broker::Request request, const std::shared_ptr<Exchange>& exchange) {
     auto taken = broker_.take(std::move(request), *this);
@@ -71,7 +75,8 @@
     bool operator==(const Shape&) const = default;
   };
   static Shape shapeOf(const config::Grpc& c, const config::GrpcPool& pool) {
-    Shape out{pool.terms.settings, pool.terms.maxOpen, c.headBytes, c.window, c.keepalive, c.connectTimeout, c.idle};
+    Shape out{pool.terms.settings, pool.terms.maxOpen, c.headBytes, c.window,
+              c.keepalive,         c.connectTimeout,   c.idle};
     out.settings.seed = 0;  // each reading brings another: for starts only
     return out;
   }
--- a/src/grpc/exchange.hpp
+++ b/src/grpc/exchange.hpp
@@ -21,24 +21,25 @@
  public:
   virtual ~Downstream() = default;
   virtual void requestTaken(Exchange& exchange, std::size_t bytes) = 0;  // the client may send so many more
-  virtual void responseHead(Exchange& exchange) = 0;                     // `head` is there: the call is committed
-  virtual void responseMore(Exchange& exchange) = 0;                     // there is more of `response`
+  virtual void responseHead(Exchange& exchange) = 0;  // `head` is there: the call is committed
+  virtual void responseMore(Exchange& exchange) = 0;  // there is more of `response`
 };
 
 // The attempts of a call, for the front to act on.
 class Upstream {
  public:
   virtual ~Upstream() = default;
-  virtual void requestMore(Exchange& exchange) = 0;  // the request has grown, or ended
+  virtual void requestMore(Exchange& exchange) = 0;                       // the request has grown, or ended
   virtual void responseTaken(Exchange& exchange, std::size_t bytes) = 0;  // the backend may send so many more
   // The call is kept for the newest attempt, since its request is too long or too slow for another one.
   virtual void keep(Exchange& exchange) = 0;
 };
 
 struct Exchange {
-  Exchange(const calls::Policy& policy, calls::Pressure& pressure) : call(policy, pressure), response(pressure) {}
+  Exchange(const calls::Policy& policy, calls::Pressure& pressure)
+      : call(policy, pressure), response(pressure) {}
 
-  std::string id;  // follows the call through every line of the log
+  std::string id;                            // follows the call through every line of the log
   const config::GrpcRoute* route = nullptr;  // held by `plan`
   std::shared_ptr<const void> plan;          // the configuration that the call was taken under
   broker::RequestNo no = 0;
@@ -54,9 +55,9 @@
   std::optional<calls::Fields> verdict;   // a status of the front's own that outranks what attempts have told
   bool headSent = false;
 
-  Core* core = nullptr;          // that it was taken by, which lasts until it ends; none: a health check
-  Downstream* client = nullptr;  // none: it has left
-  Upstream* upstream = nullptr;  // none: a health check
+  Core* core = nullptr;               // that it was taken by, which lasts until it ends; none: a health check
+  Downstream* client = nullptr;       // none: it has left
+  Upstream* upstream = nullptr;       // none: a health check
   http2::Session* session = nullptr;  // the client's
   http2::StreamId stream = 0;
   int attempts = 0;
--- a/src/grpc/front.hpp
+++ b/src/grpc/front.hpp
@@ -18,14 +18,14 @@
 namespace topazweir::grpc {
 
 struct FrontCounters {
-  std::uint64_t calls = 0;        // that came, health checks included
-  std::uint64_t malformed = 0;    // refused for what they are: no gRPC, no such path, a bad timeout
-  std::uint64_t unrouted = 0;     // no route matches
-  std::uint64_t shed = 0;         // refused since the buffers were full
-  std::uint64_t cancelled = 0;    // by their clients
-  std::uint64_t floods = 0;       // connections ended with ENHANCE_YOUR_CALM
+  std::uint64_t calls = 0;      // that came, health checks included
+  std::uint64_t malformed = 0;  // refused for what they are: no gRPC, no such path, a bad timeout
+  std::uint64_t unrouted = 0;   // no route matches
+  std::uint64_t shed = 0;       // refused since the buffers were full
+  std::uint64_t cancelled = 0;  // by their clients
+  std::uint64_t floods = 0;     // connections ended with ENHANCE_YOUR_CALM
   std::uint64_t health = 0;
-  std::uint64_t cutAtDrain = 0;   // still open when the drain's time was up
+  std::uint64_t cutAtDrain = 0;                         // still open when the drain's time was up
   std::array<std::uint64_t, calls::kCodes> statuses{};  // final ones, by code
 };
 
@@ -42,8 +42,8 @@
 
   // For the calls that come from now on.
   void use(std::shared_ptr<const Plan> plan, std::vector<Core*> cores);
-  void drain();         // health says NOT_SERVING
-  void stopAccepting();  // no new connections; GOAWAY to those there are
+  void drain();                                    // health says NOT_SERVING
+  void stopAccepting();                            // no new connections; GOAWAY to those there are
   bool quiet() const { return clients_.empty(); }  // after stopAccepting: all is answered and written
   Poco::Net::SocketAddress address() const { return listener_.address(); }
   const FrontCounters& counters() const { return counters_; }
@@ -98,7 +98,7 @@
   calls::Pressure pressure_;
   Poco::Net::ServerSocket listener_;
   std::unordered_map<http2::Session*, std::unique_ptr<Client>> clients_;
-  std::map<Exchange*, Watch> watches_;                              // of health, by their streams
+  std::map<Exchange*, Watch> watches_;             // of health, by their streams
   std::set<std::pair<Nanos, Exchange*>> unended_;  // open calls whose requests are not yet whole, by age
   net::Loop::TimerId sweepTimer_{};
   FrontCounters counters_;
--- a/src/grpc/health.hpp
+++ b/src/grpc/health.hpp
@@ -1,5 +1,5 @@
-// grpc.health.v1.Health (grpc/health/v1/health.proto) for the broker's own routes: the few bytes of its messages,
-// and what each service is said to be. No I/O.
+// grpc.health.v1.Health (grpc/health/v1/health.proto) for the broker's own routes: the few bytes of its
+// messages, and what each service is said to be. No I/O.
 #pragma once
 
 #include <cstdint>
--- a/src/grpc/side.cpp
+++ b/src/grpc/side.cpp
@@ -42,8 +42,9 @@
     if (core && core->fits(config, pool)) {
       core->told(pool);
     } else {
-      cores_.push_back(std::make_unique<Core>(
-          loop_, log_, config, pool, [this](Exchange& e, const auto& answer) { front_.finished(e, answer); }));
+      cores_.push_back(
+          std::make_unique<Core>(loop_, log_, config, pool,
+                                 [this](Exchange& e, const auto& answer) { front_.finished(e, answer); }));
       core = cores_.back().get();
     }
     next[pool.name] = core;
--- a/src/grpc/side.hpp
+++ b/src/grpc/side.hpp
@@ -1,4 +1,5 @@
-// All that the block "grpc" of the operator file switches on, wired together: the front, and the cores behind it.
+// All that the block "grpc" of the operator file switches on, wired together: the front, and the cores behind
+// it.
 #pragma once
 
 #include <map>
@@ -17,8 +18,8 @@
   Side(const Side&) = delete;
   Side& operator=(const Side&) = delete;
 
-  // Calls that come from now on go by the fresh configuration; those that are open keep theirs. The keys that only a
-  // restart applies are returned, and keep their old values.
+  // Calls that come from now on go by the fresh configuration; those that are open keep theirs. The keys that
+  // only a restart applies are returned, and keep their old values.
   std::vector<std::string> reload(config::Grpc fresh);
 
   const config::Grpc& config() const { return plan_->config; }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -17,8 +17,8 @@
 
 Server::Server(net::Loop& loop, broker::Log& log, Options options, Handler& handler)
     : loop_(loop), log_(log), options_(std::move(options)), handler_(handler) {
-  // Shared with a process that is being replaced, where the port is a given one; a port that the system is to choose
-  // must not be one that another process shares.
+  // Shared with a process that is being replaced, where the port is a given one; a port that the system is to
+  // choose must not be one that another process shares.
   listener_.bind(options_.address, true, options_.address.port() != 0);
   listener_.listen(kBacklog);
   listener_.setBlocking(false);
@@ -93,7 +93,8 @@
   if (!oldest || oldest->connection->readMore()) return false;
   log_.line("http.connection_limit", options_.name + " closed an idle connection");
   const auto connection = oldest->connection;
-  connection->close();  // its descriptor is needed now, and there is nothing unread that would make it a reset
+  connection
+      ->close();  // its descriptor is needed now, and there is nothing unread that would make it a reset
   drop(*connection);
   return true;
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "broker/log.hpp"
-#include "net/connection.hpp"
 #include "http/message.hpp"
+#include "net/connection.hpp"
 
 namespace topazweir::http {
 
--- a/src/http2/guard.hpp
+++ b/src/http2/guard.hpp
@@ -1,6 +1,6 @@
-// Keeps a peer from costing far more than it asks for: what is cheap to send and dear to receive is counted in
-// buckets (rapid reset, CVE-2023-44487; SETTINGS, PING and empty-frame floods, CVE-2019-9512, -9515, -9518;
-// CONTINUATION floods, CVE-2024-28182). Pure: the time is given.
+// Keeps a peer from costing far more than it asks for: what is cheap to send and dear to receive is counted
+// in buckets (rapid reset, CVE-2023-44487; SETTINGS, PING and empty-frame floods, CVE-2019-9512, -9515,
+// -9518; CONTINUATION floods, CVE-2024-28182). Pure: the time is given.
 #pragma once
 
 #include <algorithm>
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -8,11 +8,12 @@
 
 namespace {
 
-constexpr std::size_t kMostQueued = 256 * 1024;  // bytes that wait for the socket; the rest stays with the handler
-constexpr Nanos kRoundTrip = 100'000'000;        // between the two GOAWAYs: what is on its way is still served
-constexpr Nanos kLastWords = 1'000'000'000;      // to write the reason for the end
-constexpr std::size_t kFieldCost = 32;           // RFC 9113 section 6.5.2
-constexpr std::size_t kBomb = 8;                 // so many times the limit in one head is no mistake
+constexpr std::size_t kMostQueued =
+    256 * 1024;                            // bytes that wait for the socket; the rest stays with the handler
+constexpr Nanos kRoundTrip = 100'000'000;  // between the two GOAWAYs: what is on its way is still served
+constexpr Nanos kLastWords = 1'000'000'000;  // to write the reason for the end
+constexpr std::size_t kFieldCost = 32;       // RFC 9113 section 6.5.2
+constexpr std::size_t kBomb = 8;             // so many times the limit in one head is no mistake
 constexpr std::size_t kContinuations = 8;
 
 struct OptionDelete {
@@ -47,8 +48,9 @@
     return 0;
   }
 
-  static int onHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t nameSize,
-                      const std::uint8_t* value, std::size_t valueSize, std::uint8_t, void* user) {
+  static int onHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+                      std::size_t nameSize, const std::uint8_t* value, std::size_t valueSize, std::uint8_t,
+                      void* user) {
     auto& s = self(user);
     const auto at = s.streams_.find(frame->hd.stream_id);
     if (at == s.streams_.end()) return 0;
@@ -123,7 +125,8 @@
     auto& s = self(user);
     const bool end = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
     // RFC 9113 section 8.1: an answer given before the request is whole asks the peer to stop sending that.
-    if (s.role_ == Role::server && end && nghttp2_session_get_stream_remote_close(s.session_, frame->hd.stream_id) == 0)
+    if (s.role_ == Role::server && end &&
+        nghttp2_session_get_stream_remote_close(s.session_, frame->hd.stream_id) == 0)
       nghttp2_submit_rst_stream(s.session_, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_NO_ERROR);
     if (frame->hd.type != NGHTTP2_HEADERS || s.role_ != Role::client) return 0;
     const auto at = s.streams_.find(frame->hd.stream_id);
@@ -142,7 +145,8 @@
                         std::uint32_t* flags, nghttp2_data_source*, void* user) {
     auto& s = self(user);
     const auto pulled = s.handler_.onPull(s, id, reinterpret_cast<char*>(to), most);
-    if (pulled.then == Pulled::Then::end || pulled.then == Pulled::Then::trailers) *flags |= NGHTTP2_DATA_FLAG_EOF;
+    if (pulled.then == Pulled::Then::end || pulled.then == Pulled::Then::trailers)
+      *flags |= NGHTTP2_DATA_FLAG_EOF;
     if (pulled.then == Pulled::Then::trailers) {
       *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
       const auto fields = writeFields(pulled.last);
@@ -169,16 +173,16 @@
 Session::Session(net::Loop& loop, Role role, Limits limits, Handler& handler)
     : loop_(loop), role_(role), limits_(limits), handler_(handler), heardAt_(loop.now()) {}
 
-std::unique_ptr<Session> Session::accept(net::Loop& loop, const Poco::Net::StreamSocket& socket, Limits limits,
-                                         Handler& handler) {
+std::unique_ptr<Session> Session::accept(net::Loop& loop, const Poco::Net::StreamSocket& socket,
+                                         Limits limits, Handler& handler) {
   std::unique_ptr<Session> s(new Session(loop, Role::server, limits, handler));
   s->connection_ = net::Connection::adopt(loop, socket, *s);
   s->start();
   return s;
 }
 
-std::unique_ptr<Session> Session::connect(net::Loop& loop, const Poco::Net::SocketAddress& peer, Nanos timeout,
-                                          Limits limits, Handler& handler) {
+std::unique_ptr<Session> Session::connect(net::Loop& loop, const Poco::Net::SocketAddress& peer,
+                                          Nanos timeout, Limits limits, Handler& handler) {
   std::unique_ptr<Session> s(new Session(loop, Role::client, limits, handler));
   s->connection_ = net::Connection::connect(loop, peer, timeout, *s);
   s->start();
@@ -193,7 +197,8 @@
   nghttp2_option_set_max_continuations(option.get(), kContinuations);
   // The guard counts resets; the codec's own limit would end the connection with another reason.
   nghttp2_option_set_stream_reset_rate_limit(option.get(), 1U << 20, 1U << 20);
-  // Until its SETTINGS say, no limit (RFC 9113 section 6.5.2): what is too much comes back as refused, not run.
+  // Until its SETTINGS say, no limit (RFC 9113 section 6.5.2): what is too much comes back as refused, not
+  // run.
   nghttp2_option_set_peer_max_concurrent_streams(option.get(), 1U << 20);
   const std::unique_ptr<nghttp2_session_callbacks, CallbacksDelete> callbacks(Callbacks::table());
   if (role_ == Role::server) {
@@ -234,8 +239,8 @@
   heardAt_ = loop_.now();
   pinged_ = false;
   auto& input = connection.input();
-  const auto taken = nghttp2_session_mem_recv(session_, reinterpret_cast<const std::uint8_t*>(input.data()),
-                                              input.size());
+  const auto taken =
+      nghttp2_session_mem_recv(session_, reinterpret_cast<const std::uint8_t*>(input.data()), input.size());
   input.clear();
   if (bomb_) return calm("a head far over the limit");
   if (taken == NGHTTP2_ERR_FLOODED) return calm("frames that must be answered");
@@ -255,7 +260,8 @@
     return;
   }
   const auto status = role_ == Role::client ? calls::find(fields, ":status") : std::nullopt;
-  if (status && status->size() == 3 && status->front() == '1') return;  // informational: the head is still to come
+  if (status && status->size() == 3 && status->front() == '1')
+    return;  // informational: the head is still to come
   stream.headSeen = true;
   handler_.onHead(*this, id, std::move(fields), end);
 }
@@ -328,7 +334,8 @@
 StreamId Session::request(const Fields& head, bool end) {
   const auto fields = writeFields(head);
   nghttp2_data_provider body{{.ptr = nullptr}, Callbacks::onPull};
-  const auto id = nghttp2_submit_request(session_, nullptr, fields.data(), fields.size(), end ? nullptr : &body, nullptr);
+  const auto id =
+      nghttp2_submit_request(session_, nullptr, fields.data(), fields.size(), end ? nullptr : &body, nullptr);
   if (id < 0) {
     exhausted_ = true;
     return -1;
@@ -385,8 +392,7 @@
   const auto at = streams_.find(stream);
   if (at == streams_.end()) return true;
   // Begun and not known to have ended: it counts as written, or what has run could be repeated.
-  return at->second.headBegun &&
-         (at->second.headEnd == 0 || connection_->written() >= at->second.headEnd);
+  return at->second.headBegun && (at->second.headEnd == 0 || connection_->written() >= at->second.headEnd);
 }
 
 }  // namespace topazweir::http2
--- a/src/http2/session.hpp
+++ b/src/http2/session.hpp
@@ -1,8 +1,9 @@
-// One HTTP/2 connection (RFC 9113) of either side: nghttp2, a codec without I/O, on `net::Connection` and the loop.
-// It knows streams, fields and flow control, and nothing of what a request means.
+// One HTTP/2 connection (RFC 9113) of either side: nghttp2, a codec without I/O, on `net::Connection` and the
+// loop. It knows streams, fields and flow control, and nothing of what a request means.
 //
-// Memory: a stream's unread input is bounded by its window, which is opened again only by consume(); the output is
-// pulled from the handler when the connection has room, so nothing is queued here beyond kMostQueued bytes.
+// Memory: a stream's unread input is bounded by its window, which is opened again only by consume(); the
+// output is pulled from the handler when the connection has room, so nothing is queued here beyond
+// kMostQueued bytes.
 #pragma once
 
 #include <nghttp2/nghttp2.h>
@@ -26,11 +27,13 @@
 enum class Role { client, server };
 
 struct Limits {
-  std::size_t headBytes = 16 * 1024;    // of one head, names and values and 32 for each (RFC 9113 section 6.5.2)
-  std::uint32_t streams = 256;          // that the peer may have open; told in SETTINGS
-  std::int32_t window = 64 * 1024;      // bytes of a stream that may come unread
+  std::size_t headBytes =
+      16 * 1024;                    // of one head, names and values and 32 for each (RFC 9113 section 6.5.2)
+  std::uint32_t streams = 256;      // that the peer may have open; told in SETTINGS
+  std::int32_t window = 64 * 1024;  // bytes of a stream that may come unread
   std::int32_t connectionWindow = 4 * 1024 * 1024;
-  Nanos keepalive = 0;  // nothing came for so long while streams are open: PING, and the same once more: it is dead
+  Nanos keepalive =
+      0;  // nothing came for so long while streams are open: PING, and the same once more: it is dead
 };
 
 // What a stream has to send next.
@@ -62,17 +65,18 @@
     virtual void onFlood(Session&, std::string_view /*what*/) {}
   };
 
-  static std::unique_ptr<Session> accept(net::Loop& loop, const Poco::Net::StreamSocket& socket, Limits limits,
-                                         Handler& handler);
-  static std::unique_ptr<Session> connect(net::Loop& loop, const Poco::Net::SocketAddress& peer, Nanos timeout,
-                                          Limits limits, Handler& handler);
+  static std::unique_ptr<Session> accept(net::Loop& loop, const Poco::Net::StreamSocket& socket,
+                                         Limits limits, Handler& handler);
+  static std::unique_ptr<Session> connect(net::Loop& loop, const Poco::Net::SocketAddress& peer,
+                                          Nanos timeout, Limits limits, Handler& handler);
   ~Session() override;
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
   // Client: a new stream; below 0: none can be had here. With a body unless `end`.
   StreamId request(const Fields& head, bool end);
-  // Server: the head of a response, with a body behind it; or a response that is a head alone (trailers-only).
+  // Server: the head of a response, with a body behind it; or a response that is a head alone
+  // (trailers-only).
   void respond(StreamId stream, const Fields& head);
   void respondOnly(StreamId stream, const Fields& head);
   void resume(StreamId stream);  // there is something to pull
@@ -85,8 +89,10 @@
   void close();                      // at once; no onGone
 
   bool up() const { return connection_->up(); }
-  std::size_t peerStreams() const;      // streams that the peer allows
-  std::size_t backlog() const { return static_cast<std::size_t>(connection_->queued() - connection_->written()); }
+  std::size_t peerStreams() const;  // streams that the peer allows
+  std::size_t backlog() const {
+    return static_cast<std::size_t>(connection_->queued() - connection_->written());
+  }
   std::uint64_t sent() const { return connection_->written(); }
   // Whether the stream's head has been taken by the socket: until then its peer cannot have run it.
   bool headWritten(StreamId stream) const;
--- a/src/lab/grpc_stand_in.hpp
+++ b/src/lab/grpc_stand_in.hpp
@@ -14,8 +14,9 @@
 
 namespace topazweir::lab {
 
-// Sends each message back, and its name in the trailer "x-server". In the metadata a call may ask for more: "x-bytes":
-// that many zeros in messages of 64 KiB instead; "x-open": the answer begins at once and ends with the request.
+// Sends each message back, and its name in the trailer "x-server". In the metadata a call may ask for more:
+// "x-bytes": that many zeros in messages of 64 KiB instead; "x-open": the answer begins at once and ends with
+// the request.
 class GrpcStandIn : private http2::Session::Handler {
  public:
   GrpcStandIn(net::Loop& loop, std::string name);
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -5,9 +5,9 @@
 #include <memory>
 
 #include "broker/log.hpp"
+#include "http/message.hpp"
 #include "net/connection.hpp"
 #include "platform/directory.hpp"
-#include "http/message.hpp"
 
 namespace topazweir::platform {
 
--- a/src/platform/side.cpp
+++ b/src/platform/side.cpp
@@ -15,12 +15,11 @@
       broker_(config_.terms, clock_, pool_, log_) {
   learnKnown();
   discovery_.emplace(
-      loop, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_, [this](const auto& list) {
-        tell(list, list.full ? ListNews::Scope::full : ListNews::Scope::changes);
-      });
+      loop, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
+      [this](const auto& list) { tell(list, list.full ? ListNews::Scope::full : ListNews::Scope::changes); });
   front_.emplace(loop, log_,
-                 http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen), mostClients()}, broker_,
-                 std::move(counters));
+                 http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen), mostClients()},
+                 broker_, std::move(counters));
 }
 
 // Of the descriptors a quarter is for nodes; a few are for the listeners, discovery, signals and files.
@@ -54,8 +53,8 @@
 
 void Side::tell(const NodeList& list, ListNews::Scope scope) {
   auto news = directory_.apply(list, scope);
-  log_.line("discovery.list", "generation=" + std::to_string(list.generation) +
-                                  " entries=" + std::to_string(list.entries.size()) + (list.full ? " full" : ""));
+  log_.line("discovery.list", "generation=" + std::to_string(list.generation) + " entries=" +
+                                  std::to_string(list.entries.size()) + (list.full ? " full" : ""));
   broker_.told(std::move(news));  // first: nothing new goes to nodes whose connections are about to end
   pool_.listChanged();
 }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -346,7 +346,8 @@
   // Parts known to be at a server: own ones out, or where peers are heard the queue that all have made, which
   // drains by itself and is set right by each own answer.
   double parts(const Server& r) const {
-    return hearing() ? num(std::max<Nanos>(0, r.busyUntil - now)) / (kSeenQueue * usualWork()) : r.out() / set.parallel;
+    return hearing() ? num(std::max<Nanos>(0, r.busyUntil - now)) / (kSeenQueue * usualWork())
+                     : r.out() / set.parallel;
   }
   double queued(double ahead) const { return (1 + kSeenQueue * ahead) * usualWork(); }
   double reckoned(const Attempt& a) const { return queued(a.ownThen) + lagNow(*a.server); }
--- a/src/snmp/snapshot.cpp
+++ b/src/snmp/snapshot.cpp
@@ -62,9 +62,9 @@
                 gauge(static_cast<double>(node.startedAt) / 1e9)});
   if (!calls) return out;
   number = 0;
-  for (const auto value : {calls->calls, calls->malformed, calls->unrouted, calls->shed, calls->cancelled, calls->floods,
-                           calls->healthChecks, calls->cutAtDrain, calls->answered, calls->refused, calls->failed,
-                           calls->furtherAttempts})
+  for (const auto value : {calls->calls, calls->malformed, calls->unrouted, calls->shed, calls->cancelled,
+                           calls->floods, calls->healthChecks, calls->cutAtDrain, calls->answered,
+                           calls->refused, calls->failed, calls->furtherAttempts})
     writer.scalar(++number, Counter{value}, kCalls);
   for (const auto value : {calls->open, calls->clientConnections, calls->clientStreams, calls->bufferedBytes})
     writer.scalar(++number, gauge(value), kCalls);
--- a/src/snmp/snapshot.hpp
+++ b/src/snmp/snapshot.hpp
@@ -46,6 +46,7 @@
 inline const Oid kRoot = {1, 3, 6, 1, 4, 1, 8072, 9999, 9999, 4711};
 
 // `calls`: none where the gRPC front is off; its objects are absent then.
-Snapshot take(const broker::Broker& broker, const std::vector<NodeRow>& nodes, const CallFigures* calls = nullptr);
+Snapshot take(const broker::Broker& broker, const std::vector<NodeRow>& nodes,
+              const CallFigures* calls = nullptr);
 
 }  // namespace topazweir::snmp
--- a/src/telemetry/log_writer.cpp
+++ b/src/telemetry/log_writer.cpp
@@ -21,17 +21,28 @@
 };
 // What is not named here is info.
 constexpr std::array<Row, 22> kLevels = {{
-    {"attempt.not_sent", Level::error},      {"request.overdue", Level::error},
-    {"config.reread_failed", Level::error},  {"operator.reread_failed", Level::error},
-    {"features.reread_failed", Level::error}, {"discovery.lost", Level::warning},
-    {"config.needs_restart", Level::warning}, {"operator.needs_restart", Level::warning},
-    {"node.connection_limit", Level::warning}, {"node.fault", Level::warning},
-    {"http.connection_limit", Level::warning}, {"http.accept_failed", Level::warning},
-    {"http.bad_request", Level::warning},     {"feature.attempt_failed", Level::warning},
-    {"grpc.attempt_failed", Level::warning},  {"grpc.call_failed", Level::warning},
-    {"grpc.backend_gone", Level::warning},    {"grpc.flood", Level::warning},
-    {"grpc.connection_limit", Level::warning}, {"grpc.accept_failed", Level::warning},
-    {"grpc.call", Level::debug},              {"node.connection_ended", Level::warning},
+    {"attempt.not_sent", Level::error},
+    {"request.overdue", Level::error},
+    {"config.reread_failed", Level::error},
+    {"operator.reread_failed", Level::error},
+    {"features.reread_failed", Level::error},
+    {"discovery.lost", Level::warning},
+    {"config.needs_restart", Level::warning},
+    {"operator.needs_restart", Level::warning},
+    {"node.connection_limit", Level::warning},
+    {"node.fault", Level::warning},
+    {"http.connection_limit", Level::warning},
+    {"http.accept_failed", Level::warning},
+    {"http.bad_request", Level::warning},
+    {"feature.attempt_failed", Level::warning},
+    {"grpc.attempt_failed", Level::warning},
+    {"grpc.call_failed", Level::warning},
+    {"grpc.backend_gone", Level::warning},
+    {"grpc.flood", Level::warning},
+    {"grpc.connection_limit", Level::warning},
+    {"grpc.accept_failed", Level::warning},
+    {"grpc.call", Level::debug},
+    {"node.connection_ended", Level::warning},
 }};
 
 constexpr std::array<std::string_view, 4> kNames = {"debug", "info", "warning", "error"};
@@ -48,7 +59,8 @@
 }
 
 // "words key=value ..." taken apart. A value in quotes may hold blanks; "why=" takes all that follows.
-void takeApart(std::string_view words, std::string& text, std::vector<std::pair<std::string, std::string>>& pairs) {
+void takeApart(std::string_view words, std::string& text,
+               std::vector<std::pair<std::string, std::string>>& pairs) {
   while (!words.empty()) {
     auto end = std::min(words.find(' '), words.size());
     const auto equals = words.substr(0, end).find('=');
@@ -72,11 +84,13 @@
 }  // namespace
 
 Level levelOf(std::string_view event) {
-  const auto at = std::find_if(kLevels.begin(), kLevels.end(), [&](const Row& r) { return r.event == event; });
+  const auto at =
+      std::find_if(kLevels.begin(), kLevels.end(), [&](const Row& r) { return r.event == event; });
   return at == kLevels.end() ? Level::info : at->level;
 }
 
-std::string format(const LogOptions& options, std::string_view event, std::string_view words, std::int64_t now) {
+std::string format(const LogOptions& options, std::string_view event, std::string_view words,
+                   std::int64_t now) {
   const auto level = kNames[static_cast<std::size_t>(levelOf(event))];
   if (options.format == Format::text) {
     std::string out = options.time ? fmt::format("{} {} ", timeText(now), level) : "";
@@ -95,7 +109,8 @@
 
 LogWriter::LogWriter(LogOptions options)
     : options_(options),
-      logger_(std::make_shared<spdlog::logger>("topazweir", std::make_shared<spdlog::sinks::stderr_sink_st>())) {
+      logger_(
+          std::make_shared<spdlog::logger>("topazweir", std::make_shared<spdlog::sinks::stderr_sink_st>())) {
   logger_->set_pattern("%v");
   logger_->set_level(spdlog::level::trace);
   logger_->flush_on(spdlog::level::trace);
--- a/src/telemetry/log_writer.hpp
+++ b/src/telemetry/log_writer.hpp
@@ -1,8 +1,8 @@
 // Where the program's log goes and in what form: spdlog behind `broker::Log`'s rate limit.
 //
-// text: "EVENT words key=value ..." as docs/oncall.md lists them, with the level and the time before it where asked
-// for. json: one object a line: "ts" (RFC 3339, UTC), "level", "event", each key=value as a member of its own, the
-// other words under "text".
+// text: "EVENT words key=value ..." as docs/oncall.md lists them, with the level and the time before it where
+// asked for. json: one object a line: "ts" (RFC 3339, UTC), "level", "event", each key=value as a member of
+// its own, the other words under "text".
 #pragma once
 
 #include <memory>
@@ -28,7 +28,8 @@
 // How much an event of docs/oncall.md matters.
 Level levelOf(std::string_view event);
 // One line of either form, without its end.
-std::string format(const LogOptions& options, std::string_view event, std::string_view words, std::int64_t unixNanos);
+std::string format(const LogOptions& options, std::string_view event, std::string_view words,
+                   std::int64_t unixNanos);
 
 class LogWriter {
  public:
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -4,9 +4,9 @@
 
 #include "check.hpp"
 #include "features/side.hpp"
+#include "lab/stand_in.hpp"
 #include "platform/front.hpp"
 #include "platform/node_pool.hpp"
-#include "lab/stand_in.hpp"
 
 namespace topazweir::test {
 
@@ -74,8 +74,8 @@
 struct World {
   net::Loop loop;
   broker::Log log{[](auto event, auto text) {
-    std::fprintf(stderr, "%s %s\n", std::string(event).c_str(), std::string(text).c_str());
-  },
+                    std::fprintf(stderr, "%s %s\n", std::string(event).c_str(), std::string(text).c_str());
+                  },
                   [this] { return loop.now(); }};
   Seen ask(const std::string& address, const std::string& request) {
     Client client(loop, address, request);
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -5,9 +5,9 @@
 #include "features/backend.hpp"
 #include "features/geojson.hpp"
 #include "features/items_query.hpp"
+#include "http/message.hpp"
 #include "platform/directory.hpp"
 #include "platform/frames.hpp"
-#include "http/message.hpp"
 #include "platform/query.hpp"
 
 namespace topazweir::test {
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -1,9 +1,10 @@
 // The HTTP server: an answer that its client reads slowly is written whole before the server is quiet, and
 // what is sent ahead is answered in order.
-#include "check.hpp"
-#include "net/connection.hpp"
 #include "http/server.hpp"
+
+#include "check.hpp"
 #include "lab/stand_in.hpp"
+#include "net/connection.hpp"
 
 namespace topazweir::test {
 
