A flood of CONTINUATION frames is told ENHANCE_YOUR_CALM, too

It ended with the codec's error and no GOAWAY. The scripted client now demands the code. Measured: grpc_faults passes, plain and under the sanitizers.

--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -244,6 +244,7 @@
   input.clear();
   if (bomb_) return calm("a head far over the limit");
   if (taken == NGHTTP2_ERR_FLOODED) return calm("frames that must be answered");
+  if (taken == NGHTTP2_ERR_TOO_MANY_CONTINUATIONS) return calm("CONTINUATION frames");
   if (taken < 0) return connection.end(net::ConnectionEnd::badPeer);
   connection.resume();
   touch();
--- a/tests/grpc_faults_test.cpp
+++ b/tests/grpc_faults_test.cpp
@@ -247,9 +247,7 @@
     bool open = true;
     for (int i = 0; i < 5000 && open; ++i)
       open = raw.wire.send(frame(kContinuation, 0, 1, std::string("\x00\x01y\x01z", 5)));
-    raw.wire.await(99, 20'000);
-    CHECK(raw.wire.ended() || !open);
-    othersGoOn();
+    calmed(raw);
   }
   {  // a head over the limit, but no bomb: this call alone is refused
     RawClient raw(broker.address);
