gRPC reread: one piece where two stood, and what nobody used is gone

Cause: reading the change again showed twins. The final status was written in two places (Front::end now), the pushback field in two (writePushback), the test for gRPC's content type in two that differed (calls::isGrpc; a backend's "application/grpcx" no longer passes as gRPC, as a client's never did), the settings for servers of our own files in two (settingsFor). Closing connections were counted by the pool rule and taken out again by its caller. Gone, since unused: Policy::attempts, a bucket of the guard, Session::sent, spend's result; HTTP/2 codes by nghttp2's names.

--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -43,9 +43,9 @@
   const auto pushback = readPushback(trailers);
   remember(verdict, e, std::move(trailers));
   Next next{committed_.has_value(), verdict.outcome, last_->counted, 0};
-  decided_ = next.final;
-  if (next.final) return next;
-  if (e.ending == Ending::trailers) {
+  if (next.final) {
+    // It was committed: whatever became of it is what became of the call.
+  } else if (e.ending == Ending::trailers) {
     // The service's own word ends the call, unless the route says that this word is worth another attempt,
     // there is time for one and the backend does not forbid it.
     const bool again = policy_.retries(verdict.code) && !pushback.stop && pushback.wait < timeLeft;
@@ -89,7 +89,7 @@
     out.counted = counted;
     // When to come back is said where the backend has not said it itself.
     if (counted == Class::refused && comeBack > 0 && !readPushback(out.trailers).given)
-      out.trailers.push_back({"grpc-retry-pushback-ms", std::to_string((comeBack + 999'999) / 1'000'000)});
+      out.trailers.push_back(writePushback(comeBack));
   } else if (counted == Class::refused) {
     out.code = Code::unavailable;
     out.trailers = writeStatus(out.code, "no server can take the call now; asking again is harmless",
--- a/src/calls/call.hpp
+++ b/src/calls/call.hpp
@@ -21,7 +21,6 @@
 // What a route says of its calls.
 struct Policy {
   std::uint32_t retryOn = 1U << static_cast<unsigned>(Code::unavailable);  // a bit for each code
-  int attempts = 3;
   Nanos attemptTime = 0;           // an attempt that has not begun to answer ends then; 0: when the call does
   std::size_t replay = 64 * 1024;  // bytes of the request kept for a further attempt
   std::size_t message = 4 * 1024 * 1024;  // the largest message, either way
--- a/src/calls/links.hpp
+++ b/src/calls/links.hpp
@@ -19,15 +19,16 @@
   std::size_t at = 0;  // use: the position
 };
 
-// The one with the fewest streams that is up; else one that is coming up; else a new one. Streams are spread
-// only where needed: a further connection is opened when all are full, and `spread` streams wait on none.
+// The one with the fewest streams that is up; else one that is coming up; else, when all are full, a new one.
+// Those that close still serve what they hold: they do not count against the limit.
 inline LinkChoice chooseLink(const std::vector<LinkState>& links, std::size_t mostLinks) {
   std::optional<std::size_t> best;
-  std::size_t held = 0;
+  std::size_t held = 0;  // that take, or will take, streams
   for (std::size_t i = 0; i < links.size(); ++i) {
     const auto& l = links[i];
+    if (l.closing) continue;
     ++held;
-    if (l.closing || l.streams >= l.most) continue;
+    if (l.streams >= l.most) continue;
     const bool better =
         !best || (l.up && !links[*best].up) || (l.up == links[*best].up && l.streams < links[*best].streams);
     if (better) best = i;
--- a/src/calls/metadata.cpp
+++ b/src/calls/metadata.cpp
@@ -21,12 +21,6 @@
   return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
 }
 
-bool isGrpc(std::string_view type) {
-  constexpr std::string_view kType = "application/grpc";
-  if (type.substr(0, kType.size()) != kType) return false;
-  return type.size() == kType.size() || type[kType.size()] == '+' || type[kType.size()] == ';';
-}
-
 }  // namespace
 
 std::optional<std::string_view> find(const Fields& fields, std::string_view name) {
@@ -35,6 +29,13 @@
   return std::nullopt;
 }
 
+bool isGrpc(const Fields& head) {
+  constexpr std::string_view kType = "application/grpc";
+  const auto type = find(head, "content-type").value_or("");
+  if (type.substr(0, kType.size()) != kType) return false;
+  return type.size() == kType.size() || type[kType.size()] == '+' || type[kType.size()] == ';';
+}
+
 std::optional<Path> readPath(std::string_view path) {
   if (path.empty() || path.front() != '/') return std::nullopt;
   path.remove_prefix(1);
@@ -47,8 +48,7 @@
 }
 
 std::optional<Refusal> faultOf(const Fields& request) {
-  if (!isGrpc(find(request, "content-type").value_or("")))
-    return Refusal{415, Code::internal, "the content type is not application/grpc"};
+  if (!isGrpc(request)) return Refusal{415, Code::internal, "the content type is not application/grpc"};
   if (find(request, ":method") != "POST") return Refusal{405, Code::internal, "calls are sent as POST"};
   if (!readPath(find(request, ":path").value_or("")))
     return Refusal{200, Code::unimplemented, "the path is not /Service/Method"};
@@ -114,10 +114,14 @@
   return {true, false, millis * 1'000'000};
 }
 
+Field writePushback(Nanos wait) {
+  return {std::string(kPushback), std::to_string((wait + 999'999) / 1'000'000)};
+}
+
 Fields writeStatus(Code code, std::string_view words, std::optional<Nanos> comeBack) {
   Fields out{{"grpc-status", std::to_string(static_cast<int>(code))}};
   if (!words.empty()) out.push_back({"grpc-message", encodeMessage(words)});
-  if (comeBack) out.push_back({std::string(kPushback), std::to_string((*comeBack + 999'999) / 1'000'000)});
+  if (comeBack) out.push_back(writePushback(*comeBack));
   return out;
 }
 
--- a/src/calls/metadata.hpp
+++ b/src/calls/metadata.hpp
@@ -20,6 +20,9 @@
 // The first value under a name; none: absent.
 std::optional<std::string_view> find(const Fields& fields, std::string_view name);
 
+// Whether the content type is gRPC's: "application/grpc", with a "+format" or parameters behind it.
+bool isGrpc(const Fields& head);
+
 struct Path {
   std::string_view service, method;
 };
@@ -50,6 +53,7 @@
   Nanos wait = 0;
 };
 Pushback readPushback(const Fields& trailers);
+Field writePushback(Nanos wait);
 
 // A final status of our own, as trailers: grpc-status, grpc-message, and when to come back.
 Fields writeStatus(Code code, std::string_view words, std::optional<Nanos> comeBack);
--- a/src/config/features_config.cpp
+++ b/src/config/features_config.cpp
@@ -30,6 +30,16 @@
   return static_cast<ServerState>(json.choice("state", {"ready", "draining", "gone"}, 0));
 }
 
+Settings settingsFor(const Settings& rules, int shards) {
+  Settings s = rules;
+  s.shards = s.cells = shards;
+  s.reach = s.partsPerCall = 1;
+  s.callOverhead = s.coldFor = s.tipWindow = 0;
+  s.tipMultiple = 0;
+  s.retryAfter = true;
+  return s;
+}
+
 Features readFeatures(std::string_view text, const Config& platform) {
   const Node root = readJson(text);
   return readFeatures(Reader(root, "features."), platform);
@@ -60,14 +70,7 @@
   if (out.groups.empty()) json.fail("groups", "missing or empty");
 
   Settings& s = out.terms.settings;
-  s = platform.terms.settings;  // the rules and limits agreed for the platform hold here too
-  s.shards = s.cells = static_cast<int>(out.groups.size());
-  s.reach = 1;
-  s.partsPerCall = 1;
-  s.callOverhead = 0;
-  s.coldFor = s.tipWindow = 0;  // feature servers tell nothing of their starts
-  s.tipMultiple = 0;
-  s.retryAfter = true;
+  s = settingsFor(platform.terms.settings, static_cast<int>(out.groups.size()));
   s.maxAttempts = static_cast<int>(json.integer("maxAttempts", 1, 4, std::min(4, s.maxAttempts)));
   QueryClass search;
   search.name = json.text("class", "feature-search");
--- a/src/config/features_config.hpp
+++ b/src/config/features_config.hpp
@@ -38,6 +38,10 @@
 Features readFeatures(std::string_view json, const Config& platform);
 Features readFeatures(const Reader& json, const Config& platform);
 
+// The platform's rules and limits, for servers of our own files: each holds its shards whole, and tells
+// nothing of its starts.
+Settings settingsFor(const Settings& rules, int shards);
+
 // The key "state" of a server: ready, draining or gone.
 ServerState readState(const Reader& json);
 
--- a/src/config/grpc_config.cpp
+++ b/src/config/grpc_config.cpp
@@ -54,15 +54,12 @@
   pool.terms.maxOpen =
       2 * static_cast<std::size_t>(r.integer("calls", 1, kMany, 20'000));  // a call and its part
   Settings& s = pool.terms.settings;
-  s = rules;  // the rules and limits agreed for the platform hold here too
-  s.shards = s.cells = pool.shards;
-  s.reach = s.partsPerCall = s.aggregators = 1;
+  s = settingsFor(rules, pool.shards);
+  s.aggregators = 1;
   s.number = 0;
   s.tick = 1'000'000;
   s.parallel = static_cast<double>(r.integer("parallel", 1, kMany, 64));
-  s.callOverhead = s.coldFor = s.tipWindow = 0;  // backends tell nothing of their starts
-  s.tipMultiple = 0;
-  s.retryAfter = s.cancelling = true;
+  s.cancelling = true;
   s.maxRetryAfter = r.millis("maxRetryAfterMs", 1, kDay, 2'000);
   s.maxAttempts = 4;
   s.secondCopies = false;
@@ -130,7 +127,6 @@
   c.maxAttempts = static_cast<int>(r.integer("attempts", 1, 4, 3));
   c.copies = r.flag("hedging", false);
   if (c.copies && c.effect != Effect::safe) r.fail("hedging", "only a safe call may be sent twice at once");
-  route.policy.attempts = c.maxAttempts;
   route.policy.attemptTime = r.millis("attemptMs", 0, kDay, 0);
   route.policy.retryOn = readRetryOn(r);
   route.policy.replay = static_cast<std::size_t>(r.integer("replayBytes", 0, 16 * kMany, 64 * 1024));
--- a/src/grpc/backend.cpp
+++ b/src/grpc/backend.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Nanos kSweep = 1'000'000'000;
-constexpr std::uint32_t kNoError = 0, kCancel = 8;
 
 broker::Verdict verdictOf(calls::Class counted) {
   switch (counted) {
@@ -29,10 +28,6 @@
   return broker::Verdict::failed;
 }
 
-bool isGrpc(const calls::Fields& head) {
-  return calls::find(head, "content-type").value_or("").substr(0, 16) == "application/grpc";
-}
-
 }  // namespace
 
 Backend::Backend(net::Loop& loop, broker::Log& log, const Exchanges& exchanges, const config::Grpc& config,
@@ -89,10 +84,7 @@
   for (const auto* link : links)
     states.push_back({link->session->up(), link->goaway || link->session->exhausted(), link->streams.size(),
                       std::min(server.streams, link->session->peerStreams())});
-  // Connections that go away still serve what they hold: they do not count against the limit.
-  const auto leaving = static_cast<std::size_t>(
-      std::count_if(states.begin(), states.end(), [](const auto& s) { return s.closing; }));
-  const auto choice = calls::chooseLink(states, server.connections + leaving);
+  const auto choice = calls::chooseLink(states, server.connections);
   if (choice.kind == calls::LinkChoice::Kind::use) return links[choice.at];
   if (choice.kind == calls::LinkChoice::Kind::none) return nullptr;
   auto link = std::make_unique<Link>();
@@ -168,14 +160,15 @@
   const auto at = streams_.find(id);
   if (at == streams_.end()) return;
   at->second.exchange->call.dropped(id.attempt);
-  drop(at->second, kCancel);
+  drop(at->second, NGHTTP2_CANCEL);
 }
 
 // Lets go of a stream that may still be open, or still waits.
 void Backend::drop(Stream& stream, std::uint32_t code) {
   loop_.cancel(stream.timer);
   if (auto* link = stream.link) {
-    if (link->streams.erase(stream.stream) > 0 && code != kNoError) link->session->reset(stream.stream, code);
+    if (link->streams.erase(stream.stream) > 0 && code != NGHTTP2_NO_ERROR)
+      link->session->reset(stream.stream, code);
     if (link->streams.empty()) link->idleSince = loop_.now();
     if (waiting_.count(link->address) > 0) {
       const std::weak_ptr<bool> alive = alive_;
@@ -207,7 +200,7 @@
         fmt::format("call={} backend={} outcome={} http2={} why={}", exchange->id, exchange->lastBackend,
                     broker::kOutcomeNames[static_cast<std::size_t>(next.outcome)], how.http2, words));
   }
-  drop(at->second, over ? kNoError : kCancel);
+  drop(at->second, over ? NGHTTP2_NO_ERROR : NGHTTP2_CANCEL);
   report(id, next);
 }
 
@@ -241,7 +234,7 @@
   if (final && status)
     return end(stream->id, {.ending = Ending::trailers, .status = status}, std::move(head));
   const auto http = calls::find(head, ":status").value_or("");
-  if (http != "200" || !isGrpc(head)) {
+  if (http != "200" || !calls::isGrpc(head)) {
     Ended how{.ending = Ending::badResponse};
     if (http != "200") how.http = std::atoi(std::string(http).c_str());
     return end(stream->id, how);
@@ -288,7 +281,7 @@
     ++counters_.refusedStreams;
     return end(stream->id, {.ending = Ending::aboveGoaway});
   }
-  if (code == 7) ++counters_.refusedStreams;
+  if (code == NGHTTP2_REFUSED_STREAM) ++counters_.refusedStreams;
   end(stream->id, {.ending = Ending::resetByPeer, .http2 = code});
 }
 
--- a/src/grpc/backend.hpp
+++ b/src/grpc/backend.hpp
@@ -4,7 +4,6 @@
 
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <set>
--- a/src/grpc/core.hpp
+++ b/src/grpc/core.hpp
@@ -36,7 +36,7 @@
   bool fits(const config::Grpc& config, const config::GrpcPool& pool) const {
     return shape_ == shapeOf(config, pool);
   }
-  // What is wrong with the request, if anything; else the call has begun and `exchange` has its number.
+  // What is wrong with the request, if anything; else `exchange` has its number, and begin() starts the call.
   std::optional<std::string> take(broker::Request request, const std::shared_ptr<Exchange>& exchange) {
     auto taken = broker_.take(std::move(request), *this);
     if (auto* invalid = std::get_if<broker::Invalid>(&taken)) return std::move(invalid->why);
--- a/src/grpc/exchange.hpp
+++ b/src/grpc/exchange.hpp
@@ -52,7 +52,7 @@
   calls::Meter meter;               // of the response
   calls::Fields responseHead;
   std::optional<calls::Fields> trailers;  // the final status, once the core has booked the end
-  std::optional<calls::Fields> verdict;   // a status of the front's own that outranks what attempts have told
+  std::optional<calls::Final> verdict;    // the front's own, which outranks what attempts have told
   bool headSent = false;
 
   Core* core = nullptr;               // that it was taken by, which lasts until it ends; none: a health check
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -226,12 +226,21 @@
 
 void Front::fail(Exchange& e, calls::Code code, std::string_view words) {
   if (e.trailers) return;
-  e.verdict = calls::writeStatus(code, words, std::nullopt);
-  if (e.core) return e.core->giveUp(e);
-  // No call of the core's: a health check.
-  ++counters_.statuses[static_cast<std::size_t>(code)];
-  e.trailers = *e.verdict;
-  e.headSent ? e.session->resume(e.stream) : e.session->respondOnly(e.stream, headOf(200, *e.trailers));
+  e.verdict = {calls::Class::failed, code, calls::writeStatus(code, words, std::nullopt), false};
+  e.core ? e.core->giveUp(e) : end(e, *e.verdict);  // without a core: a health check
+}
+
+void Front::end(Exchange& e, calls::Final final) {
+  ++counters_.statuses[static_cast<std::size_t>(final.code)];
+  const bool whole = calls::find(final.trailers, ":status").has_value();  // it came as a head of its own
+  e.trailers = std::move(final.trailers);
+  if (!e.session) return;
+  if (e.headSent) {
+    if (whole) std::erase_if(*e.trailers, [](const auto& f) { return f.name.front() == ':'; });
+    e.session->resume(e.stream);
+  } else {
+    e.session->respondOnly(e.stream, whole ? *e.trailers : headOf(200, *e.trailers));
+  }
 }
 
 // The client's stream is over, in order or not.
@@ -299,22 +308,9 @@
   const bool overdue =
       answer.timedOut || (counted != calls::Class::answered && loop_.now() + kLastMoment >= e->due);
   auto final = e->call.finish(counted, overdue, answer.retryAfter);
-  if (e->verdict) {
-    final.trailers = *e->verdict;
-    final.fromBackend = false;
-    final.code = calls::readCode(*calls::find(final.trailers, "grpc-status")).value_or(calls::Code::unknown);
-  }
-  ++counters_.statuses[static_cast<std::size_t>(final.code)];
+  if (e->verdict) final = *e->verdict;
   report(*e, final);
-  const bool whole = calls::find(final.trailers, ":status").has_value();  // it came as a head of its own
-  e->trailers = final.trailers;
-  if (!e->session) return;
-  if (e->headSent) {
-    if (whole) std::erase_if(*e->trailers, [](const auto& f) { return f.name.front() == ':'; });
-    e->session->resume(e->stream);
-  } else {
-    e->session->respondOnly(e->stream, whole ? final.trailers : headOf(200, final.trailers));
-  }
+  end(*e, std::move(final));
 }
 
 void Front::report(const Exchange& e, const calls::Final& final) {
@@ -367,7 +363,7 @@
     ++counters_.statuses[0];
     e.trailers = calls::writeStatus(calls::Code::ok, "", std::nullopt);
   }
-  e.session->respond(e.stream, {{":status", "200"}, {"content-type", "application/grpc"}});
+  e.session->respond(e.stream, headOf(200, {}));
 }
 
 void Front::tellWatches() {
--- a/src/grpc/front.hpp
+++ b/src/grpc/front.hpp
@@ -83,6 +83,7 @@
   void refuse(http2::Session& session, http2::StreamId id, int http, calls::Code code, std::string_view words,
               std::optional<Nanos> comeBack = std::nullopt);
   void fail(Exchange& exchange, calls::Code code, std::string_view words);
+  void end(Exchange& exchange, calls::Final final);  // writes the one final status
   void answerHealth(Exchange& exchange);
   Serving servingOf(const std::string& service) const;
   void tellWatches();
--- a/src/http2/guard.hpp
+++ b/src/http2/guard.hpp
@@ -13,15 +13,15 @@
 
 class Guard {
  public:
-  enum class Cost : std::size_t { reset, settings, ping, emptyData, priority, continuation };
-  static constexpr std::size_t kCosts = 6;
+  enum class Cost : std::size_t { reset, settings, ping, emptyData, priority };
+  static constexpr std::size_t kCosts = 5;
 
   struct Bucket {
     double burst = 0, perSecond = 0;
   };
   // Far above what clients do: a busy gRPC client cancels some of its calls, and pings now and then.
   static constexpr std::array<Bucket, kCosts> kBuckets = {
-      {{400, 100}, {32, 4}, {64, 10}, {400, 100}, {400, 100}, {32, 16}}};
+      {{400, 100}, {32, 4}, {64, 10}, {400, 100}, {400, 100}}};
 
   // False: the peer has spent more than it may; it is to be told ENHANCE_YOUR_CALM.
   bool allow(Cost cost, Nanos now) {
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -271,16 +271,13 @@
 
 void Session::onEnd(net::Connection&, net::ConnectionEnd end) { handler_.onGone(*this, end); }
 
-bool Session::spend(Guard::Cost cost, std::string_view what) {
-  if (guard_.allow(cost, loop_.now())) return true;
-  if (!std::exchange(flooded_, true)) {
-    // Not from within the codec's callback: what it still holds of this input is dropped.
-    const std::weak_ptr<bool> alive = alive_;
-    loop_.soon([this, alive, what = std::string(what)] {
-      if (const auto still = alive.lock(); still && *still) calm(what);
-    });
-  }
-  return false;
+void Session::spend(Guard::Cost cost, std::string_view what) {
+  if (guard_.allow(cost, loop_.now()) || std::exchange(flooded_, true)) return;
+  // Not from within the codec's callback: what it still holds of this input is dropped.
+  const std::weak_ptr<bool> alive = alive_;
+  loop_.soon([this, alive, what = std::string(what)] {
+    if (const auto still = alive.lock(); still && *still) calm(what);
+  });
 }
 
 void Session::calm(std::string_view what) {
--- a/src/http2/session.hpp
+++ b/src/http2/session.hpp
@@ -93,7 +93,6 @@
   std::size_t backlog() const {
     return static_cast<std::size_t>(connection_->queued() - connection_->written());
   }
-  std::uint64_t sent() const { return connection_->written(); }
   // Whether the stream's head has been taken by the socket: until then its peer cannot have run it.
   bool headWritten(StreamId stream) const;
   bool exhausted() const { return exhausted_; }  // no stream numbers left, or it is going away
@@ -109,7 +108,7 @@
   void flush();
   void watchPeer();
   void takeHead(StreamId stream, bool end);
-  bool spend(Guard::Cost cost, std::string_view what);
+  void spend(Guard::Cost cost, std::string_view what);
 
   struct Callbacks;
   struct Stream {
