--- a/cli_test.17356.hcl
+++ /dev/null
@@ -1,3 +0,0 @@
-grpc {
- lisen = 1
-}
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -1,31 +1,26 @@
 #include "platform/discovery.hpp"
 
-#include <algorithm>
-
 namespace topazweir::platform {
 
 namespace {
 constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kConnectTime = 500 * kMs, kFirstWait = 50 * kMs, kLongestWait = 500 * kMs;
-// An agent answers at once, and a sound watch says something every 2 s. What it has to tell counts as told 4 s
-// after it became the one to follow: one silent connection must leave the time for a second.
-constexpr Nanos kNoAnswer = 1000 * kMs, kSilence = 2800 * kMs;
+constexpr Nanos kConnectTime = 500 * kMs;
+constexpr Nanos kSilence = 2800 * kMs;  // a sound watch says something every 2 s
 }  // namespace
 
 Discovery::Discovery(net::Loop& loop, broker::Log& log, Poco::Net::SocketAddress address,
-                     std::vector<std::string> zones, std::int64_t generation, Told told)
+                     std::vector<std::string> zones, std::int64_t generation, RetryPace pace, Told told)
     : loop_(loop),
       log_(log),
       address_(std::move(address)),
       zones_(std::move(zones)),
       generation_(generation),
+      pace_(std::move(pace)),
       told_(std::move(told)) {
   connect();
 }
 
-Discovery::~Discovery() {
-  drop();
-}
+Discovery::~Discovery() { drop(); }
 
 void Discovery::drop() {
   loop_.cancel(timer_);
@@ -37,7 +32,7 @@
   if (address == address_) return;
   address_ = std::move(address);
   drop();
-  wait_ = 0;
+  pace_.succeeded();
   connect();
 }
 
@@ -50,8 +45,7 @@
 void Discovery::retry(std::string_view why) {
   log_.line("discovery.lost", why);
   drop();
-  wait_ = std::clamp(wait_ * 2, kFirstWait, kLongestWait);
-  timer_ = loop_.after(wait_, [this] { connect(); });
+  timer_ = loop_.after(pace_.next(), [this] { connect(); });
 }
 
 // A watch whose other end has vanished stays open and silent: it is opened anew.
@@ -63,7 +57,7 @@
 void Discovery::onUp(net::Connection& connection) {
   connection.write("GET /discovery/hosts?watch=1&from=" + std::to_string(generation_) +
                    " HTTP/1.1\r\nHost: " + address_.toString() + "\r\n\r\n");
-  watchSilence(kNoAnswer);
+  watchSilence(pace_.patience());
 }
 
 void Discovery::onData(net::Connection& connection) {
@@ -89,7 +83,7 @@
       retry("bad list: " + why);
       return false;
     }
-    wait_ = 0;
+    pace_.succeeded();
     list->stale = list->generation < generation_;
     generation_ = list->generation;
     told_(*list);
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -8,6 +8,7 @@
 #include "http/message.hpp"
 #include "net/connection.hpp"
 #include "platform/directory.hpp"
+#include "platform/retry_pace.hpp"
 
 namespace topazweir::platform {
 
@@ -15,7 +16,7 @@
  public:
   using Told = std::function<void(const NodeList&)>;
   Discovery(net::Loop& loop, broker::Log& log, Poco::Net::SocketAddress address,
-            std::vector<std::string> zones, std::int64_t generation, Told told);
+            std::vector<std::string> zones, std::int64_t generation, RetryPace pace, Told told);
   ~Discovery() override;
   // From now on the agent at this address is followed; what has been told so far still holds.
   void moveTo(Poco::Net::SocketAddress address);
@@ -35,12 +36,12 @@
   Poco::Net::SocketAddress address_;
   std::vector<std::string> zones_;
   std::int64_t generation_;
+  RetryPace pace_;
   Told told_;
   std::shared_ptr<net::Connection> connection_;
   http::Parser parser_{http::Side::response, kLimits};
   std::string lines_;
   net::Loop::TimerId timer_;
-  Nanos wait_ = 0;  // before the next try
 
   static constexpr std::size_t kMostLine = 1024 * 1024;
   static constexpr http::Limits kLimits{16 * 1024, kMostLine};
--- a/src/platform/side.cpp
+++ b/src/platform/side.cpp
@@ -16,6 +16,7 @@
   learnKnown();
   discovery_.emplace(
       loop, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
+      RetryPace(config_.terms.settings.aggregators, config_.terms.settings.seed),
       [this](const auto& list) { tell(list, list.full ? ListNews::Scope::full : ListNews::Scope::changes); });
   front_.emplace(loop, log_,
                  http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen), mostClients()},
