Benched servers are tried by copies only; new connections no longer taken for silent

An aggregator hears of a leaf every 1.5 s; a bench lasts 0.5 to 3 s, so nearly each query found the sick leafs out anew, until its budget of further attempts was gone. At leafs that were merely slow (300 ms) a third of the sends were repeats after end=silent, some 18 ms after the connection had been opened. Ruled out: copies by themselves (under a tenth), turned away parts. At fault: Impl::benched and the return to good standing by any answer, however late; NodePool::write, which set waitsSince only for a connection's first part: one that came up with two parts counted as silent since time 0, its parts were sent again and each repeat opened a connection more; endSilent also took answers to older parts as a sign. Change: a benched server gets no first tries while another holder is there; copies, 2% of parts, find out whether it is back, and only an answer in time says so. waitsSince is set when a connection comes up; only an answer to what was sent later speaks against a silent connection; false alarms make the pool more patient.

--- a/src/platform/node_pool.cpp
+++ b/src/platform/node_pool.cpp
@@ -19,6 +19,9 @@
 // its connection since, speaks against that connection.
 constexpr Nanos kSilent = 100'000'000;
 constexpr double kSilentTimes = 6, kMeanStep = 0.05;
+// A connection suspected and heard after all was a slow node's: so much more time from then on. One that was
+// rightly ended takes that back.
+constexpr double kPatienceStep = 1.5, kMostPatience = 8;
 constexpr int kFewAnswers = 20;      // fewer say nothing of the mean
 constexpr Nanos kLook = 25'000'000;  // how often connections are looked at for that
 // Parts that were out on a connection, remembered to tell a late or doubled answer from one to a strange id.
@@ -33,6 +36,7 @@
   std::map<std::string, broker::AttemptId, std::less<>> outs;  // by the part's id
   std::deque<std::string> over;                                // ids of parts that were out before
   Nanos lastUsed = 0, heardAt = 0;
+  Nanos answeredSentAt = 0;         // when the youngest part that it has answered was sent
   Nanos waitsSince = 0;             // it has attempts out and has said nothing
   bool suspect = false;             // silent where it should have answered
   bool spoilt = false;              // it sent what cannot be read: of no further use
@@ -136,26 +140,30 @@
 }
 
 Nanos NodePool::silentLimit() const {
-  return std::max(kSilent, static_cast<Nanos>(kSilentTimes * meanAnswer_));
+  return static_cast<Nanos>(patience_ * std::max(static_cast<double>(kSilent), kSilentTimes * meanAnswer_));
 }
 
 // Guards sound nodes against connections that have fallen silent: what is out there would count against the
 // node, and keep it set aside, until the clients' time is up. Such a connection gets no more parts, and it
-// ends when the node has answered on another one since: otherwise the node may just be slow, and to ask anew
-// would be a storm.
+// ends when the node has answered on another one what was sent well after: otherwise the node may just be
+// slow, and to ask anew would be a storm, more so when every aggregator does.
 void NodePool::endSilent() {
   lookTimer_ = loop_.after(kLook, [this] { endSilent(); });
   if (answers_ < kFewAnswers) return;
-  std::map<ServerId, Nanos> heard;
-  for (const auto& [key, link] : links_) heard[link->server] = std::max(heard[link->server], link->heardAt);
+  std::map<ServerId, Nanos> answered;
+  for (const auto& [key, link] : links_)
+    answered[link->server] = std::max(answered[link->server], link->answeredSentAt);
   std::vector<std::shared_ptr<Link>> mute;
   for (const auto& [key, link] : links_) {
     if (!link->connection->up() || link->outs.empty() || loop_.now() - link->waitsSince <= silentLimit())
       continue;
     link->suspect = true;
-    if (heard[link->server] > link->waitsSince) mute.push_back(link);
+    if (answered[link->server] - link->waitsSince > static_cast<Nanos>(meanAnswer_)) mute.push_back(link);
+  }
+  for (const auto& link : mute) {
+    patience_ = std::max(1.0, patience_ / kPatienceStep);
+    link->connection->end(net::ConnectionEnd::silent);
   }
-  for (const auto& link : mute) link->connection->end(net::ConnectionEnd::silent);
 }
 
 void NodePool::cancel(const broker::AttemptId& id) { giveUp(id); }
@@ -174,6 +182,7 @@
 }
 
 void NodePool::onUp(Link& link) {
+  link.waitsSince = loop_.now();
   for (const auto& [partId, id] : link.outs) write(outs_.at(id));
 }
 
@@ -208,6 +217,7 @@
           std::any_of(arrived.begin(), arrived.end(), [&](const auto& a) { return a.id == id; });
       if (!twice) {
         arrived.push_back({id, reply->outcome, std::string(reply->value)});
+        link.answeredSentAt = std::max(link.answeredSentAt, outs_.at(id).queuedAt);
         const auto took = static_cast<double>(loop_.now() - outs_.at(id).queuedAt);
         meanAnswer_ += (answers_ == 0 ? 1 : kMeanStep) * (took - meanAnswer_);
         answers_ = std::min(answers_ + 1, kFewAnswers);
@@ -220,6 +230,7 @@
     used += read.frame->size;
   }
   if (used > 0) {
+    if (link.suspect) patience_ = std::min(kMostPatience, patience_ * kPatienceStep);
     link.heardAt = link.waitsSince = loop_.now();
     link.suspect = link.midFrame = false;
     input.erase(0, used);
--- a/src/platform/node_pool.hpp
+++ b/src/platform/node_pool.hpp
@@ -70,6 +70,7 @@
   std::uint64_t opened_ = 0;
   int answers_ = 0;        // counted up to a few
   double meanAnswer_ = 0;  // ns, of late
+  double patience_ = 1;    // with silent connections: grows where nodes are slow
 };
 
 }  // namespace topazweir::platform
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,6 +25,7 @@
 constexpr double kTwinShare = 0.10, kCopyShare = 0.18;  // of parts: the design's tenth; all under a fifth
 constexpr double kCopyBudget = 0.5;    // of a told budget: the rest is kept for parts that have failed
 constexpr double kResendShare = 0.15;  // time-outs per part: for a few sick servers, no storm when all are
+constexpr double kTrialShare = 0.02;   // of parts: sent to benched servers, to learn whether they are back
 constexpr double kTokenCap = 4;        // copies that may be saved up: a burst of them must stay small
 constexpr double kEpsilon = 1;         // ns above the round's largest delay, as in the paper
 constexpr double kAsideRatio = 1.5;    // a set-aside replica is taken when all others look this much slower
@@ -221,7 +222,7 @@
   std::deque<Nanos> taken, extras;                 // within the budget's window
   std::vector<std::pair<Nanos, int>> tryTime;      // by class, of a client's first try, and votes for it
   Nanos lastDeath = -1;                            // a connection broke
-  double twinTokens = 1, copyTokens = 1, resendTokens = 1;
+  double twinTokens = 1, copyTokens = 1, resendTokens = 1, trialTokens = 1;
 
   std::deque<double> samples;  // delays of the latest delivered parts
   double low = 0, median = 0, high = 0;
@@ -518,7 +519,8 @@
     for (auto* r : holders[idx(part.shard)]) {
       if (!mayReceive(*r, part)) continue;
       const bool aside = r->memory[idx(part.shard)].pending > 0;
-      auto& slot = best[part.at(*r, false) || benched(*r) ? 2 : aside ? 1 : 0];
+      const bool out = benched(*r) && (mayCopy(cls) || !onTrial(*r));
+      auto& slot = best[part.at(*r, false) || out ? 2 : aside ? 1 : 0];
       const double delay = expected(*r, part.shard, cls);
       if (delay < slot.delay || (delay == slot.delay && r->tieBreak < slot.server->tieBreak))
         slot = {r, delay};
@@ -586,7 +588,9 @@
       earn(twinTokens, kTwinShare * call * relief());
       earn(copyTokens, kCopyShare * call * relief());
       earn(resendTokens, kResendShare);
+      earn(trialTokens, kTrialShare);
     }
+    if (r.bench > 0) trialTokens = std::max(0.0, trialTokens - 1);
     part.wanted = true;
     const double there = parts(r);
     part.attempts.push_back(Attempt{&r, now, there, scouted(r) ? r.load : -1});
@@ -612,9 +616,9 @@
 
   // Twins: the query's slowest-looking part gets one, since it decides when the query ends.
   void sendTwin(Query& q) {
-    if (twinTokens < 1 || copyTokens < 1 || !budgetLeft(kCopyBudget) || careful(q) || !set.secondCopies ||
-        !q.cls->copies || q.cls->effect != Effect::safe)
-      return;
+    if (!mayCopy(*q.cls) || careful(q)) return;
+    sendTrials(q);
+    if (twinTokens < 1 || copyTokens < 1 || !budgetLeft(kCopyBudget)) return;
     Part* slowest = nullptr;
     double delay = -1;
     for (auto& part : q.parts) {
@@ -626,6 +630,20 @@
     if (other && send(q, *slowest, *other)) twinTokens -= 1, copyTokens -= 1;
   }
 
+  bool mayCopy(const QueryClass& cls) const {
+    return set.secondCopies && cls.copies && cls.effect == Effect::safe;
+  }
+
+  // Trials ride on parts that are out elsewhere. Guards queries against finding out, each anew, that a server
+  // is still sick: an aggregator that sends seldom would try it with every query, and all aggregators do.
+  void sendTrials(Query& q) {
+    for (auto& part : q.parts) {
+      if (part.step != q.step || part.attempts.size() != 1 || !part.isOut()) continue;
+      for (auto* r : holders[idx(part.shard)])
+        if (onTrial(*r) && budgetLeft(kCopyBudget) && send(q, part, *r)) break;
+    }
+  }
+
   void cancel(Part& part, std::size_t at) {
     auto& a = part.attempts[at];
     if (!a.out) return;
@@ -651,8 +669,10 @@
 
   // ---- outcomes and health ----
 
-  bool benched(const Server& r) const {
-    return doubted(r) || (r.bench > 0 && (now < r.benchedUntil || !r.outs.empty()));  // then single trials
+  bool benched(const Server& r) const { return doubted(r) || r.bench > 0; }
+  // Its bench is over: single trials tell whether it is back.
+  bool onTrial(const Server& r) const {
+    return r.bench > 0 && now >= r.benchedUntil && r.outs.empty() && trialTokens >= 1 && !doubted(r);
   }
 
   bool putOnBench(Server& r, const char* why, bool longest = false) {
@@ -739,7 +759,10 @@
     }
     r.lastReply = now, r.failures = 0;
     r.lastRepliedSent = std::max(r.lastRepliedSent, a.sentAt);
-    if (r.bench > 0 && now >= r.benchedUntil) r.bench = 0, log("server " + std::to_string(r.id) + " is back");
+    // An answer as late as those for which it was set aside does not speak for it.
+    const bool quick = delay <= std::max(lateAfter(set.classes.front()), kLateHigh * high);
+    if (r.bench > 0 && now >= r.benchedUntil && quick)
+      r.bench = 0, log("server " + std::to_string(r.id) + " is back");
     sample(delay);
     part.delivered = true;
     for (std::size_t i = 0; i < part.attempts.size(); ++i) cancel(part, i);
--- a/tests/node_pool_test.cpp
+++ b/tests/node_pool_test.cpp
@@ -153,6 +153,39 @@
   CHECK(w.pool.connections() == 1);
 }
 
+// A new connection that carries several parts from the start has not been silent since the beginning of time:
+// it is left to its slow node, and the next part does not open one more.
+void aNewConnectionIsNotSilent() {
+  World w;
+  w.speaker.say = [](const auto& parts) { return good(parts[0]); };
+  for (int i = 0; i < 20; ++i) w.start("b." + std::to_string(i));
+  w.loop.after(100 * kMs, [&] {
+    w.speaker.wanted = 3;
+    w.speaker.say = [](const auto& parts) { return good(parts[0]) + good(parts[1]) + good(parts[2]); };
+    w.start("b.0"), w.start("b.1");  // known on the first connection, so these open one
+  });
+  w.loop.after(180 * kMs, [&] { w.start("b.2"); });
+  w.run(300 * kMs);
+  CHECK(w.ended.size() == 20 && w.pool.opened() == 2 && w.pool.connections() == 2);
+}
+
+// What was sent before a connection fell silent may be answered on another one later: that says nothing
+// against the silent one, whose node may be slow.
+void onlyWhatWasSentLaterSpeaksAgainstIt() {
+  World w;
+  w.speaker.say = [](const auto& parts) { return good(parts[0]); };
+  for (int i = 0; i < 20; ++i) w.start("b." + std::to_string(i));
+  w.loop.after(100 * kMs, [&] {
+    w.speaker.wanted = 3;
+    w.speaker.say = [](const auto&) { return good("b.0"); };
+    w.start("b.0");  // on a connection of its own
+  });
+  w.loop.after(110 * kMs, [&] { w.start("c.1"); });  // on the first one
+  w.loop.after(180 * kMs, [&] { w.start("b.2"); });  // beside b.0, which is answered now
+  w.run(350 * kMs);
+  CHECK(w.ended.count("c.1") == 0);
+}
+
 // Our own limit of connections says nothing about a node.
 void ownLimitBlamesNobody() {
   World w;
@@ -172,5 +205,7 @@
   knowsWhatWasOut();
   leavesSilentConnections();
   endsSilentConnections();
+  aNewConnectionIsNotSilent();
+  onlyWhatWasSentLaterSpeaksAgainstIt();
   ownLimitBlamesNobody();
 }
