--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,4 +1,6 @@
 // What is harmless from one aggregator and harmful from all: many instances, each of which sees little.
+#include <algorithm>
+
 #include "fleet_world.hpp"
 
 namespace topazweir::test {
@@ -27,10 +29,39 @@
   for (ServerId id : {4, 11, 20, 27}) CHECK(w.sent[id].first * 30 * 2 > first);  // half its part or more
 }
 
+// A cold server's neighbours go, so that all would turn to it. Each instance asks seldom: what it may send is
+// saved up for when it asks, and yet all together stay below what tips the server over.
+void coldServersWorkAndDoNotTip() {
+  FleetWorld w(100, 30);
+  w.run(5 * kSec, 70, 18);
+  for (ServerId id : {10, 12}) w.node(id).entry.state = ServerState::gone;
+  w.node(11).entry.state = ServerState::gone;
+  const Nanos started = w.now - 2400 * kMs;
+  w.add(10, 99, started);
+  w.node(99).slower = 2;
+  std::vector<Nanos> sends;
+  w.onSend = [&](ServerId id, bool) {
+    if (id == 99) sends.push_back(w.now);
+  };
+  w.tell();
+  w.run(12 * kSec, 70, 18);
+  const auto early =
+      std::count_if(sends.begin(), sends.end(), [&](Nanos at) { return at - started < 6 * kSec; });
+  CHECK(early > 190);  // one part a window for each: 169
+  for (const Nanos at : sends) {
+    const auto within = std::count_if(sends.begin(), sends.end(),
+                                      [&](Nanos other) { return other >= at && other < at + 2 * kSec; });
+    const double age = static_cast<double>(at - started) / (17.0 * static_cast<double>(kSec));
+    const double cores = 2 * (0.22 + 0.78 * std::min(1.0, age));
+    CHECK(0.020 * static_cast<double>(within) < 4 * cores * 2);  // of 20 ms a part
+  }
+}
+
 }  // namespace
 }  // namespace topazweir::test
 
 int main() {
   using namespace topazweir::test;
   sickServersAreTriedByCopies();
+  coldServersWorkAndDoNotTip();
 }
