--- a/tests/retry_pace_test.cpp
+++ b/tests/retry_pace_test.cpp
@@ -78,6 +78,11 @@
   CHECK(pace.next() <= 60 * kMs);
 }
 
+void noNumberMakesItDeaf() {
+  platform::RetryPace pace(1'000'000, 1);
+  for (int i = 0; i < 10; ++i) CHECK(pace.next() <= 30'000 * kMs && pace.patience() <= 15'000 * kMs);
+}
+
 // Restarted together, with seeds of their own, they do not ask together.
 void noTwoInStep() {
   std::map<Nanos, int> perTenth;
@@ -92,5 +97,6 @@
   using namespace topazweir::test;
   aLargeFleetGetsItsListBack();
   aSmallFleetAsksSoon();
+  noNumberMakesItDeaf();
   noTwoInStep();
 }
