--- a/src/platform/retry_pace.cpp
+++ b/src/platform/retry_pace.cpp
@@ -11,7 +11,8 @@
 constexpr int kDoublings = 3;
 // However many ask, or a wrong number says so: the list must not stay old for minutes.
 constexpr Nanos kLongestTurn = 10'000 * kMs, kLongestWait = 30'000 * kMs, kLongestPatience = 15'000 * kMs;
-// An agent that is not overbooked answers at once; an overbooked service has said no itself after two turns.
+// An agent that is not overbooked answers at once, and in a small fleet one silent connection must leave the
+// time for a second; an overbooked service has said no itself after two turns.
 constexpr Nanos kAnswerTime = 1000 * kMs;
 }  // namespace
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -51,8 +51,9 @@
 constexpr double kInTime = 0.75, kBiasStep = 0.1, kEdge = 0.2;
 constexpr double kCalm = 1.25, kJammed = 2.0;  // median over the calmest: copies cost nobody, or feed queues
 constexpr double kBaseDrift = 0.02;            // of the unqueued delay is forgotten in an aim: speeds change
-constexpr double kFairShare = 0.6;   // part of this aggregator's share of a cold server's limit that is used
-constexpr double kSavedWindows = 3;  // of the tipping rule, for which a large fleet's shares are saved up
+constexpr double kFairShare = 0.6;  // part of this aggregator's share of a cold server's limit that is used
+// Windows of the tipping rule for which shares are saved up: by the root of the fleet's size, at most.
+constexpr double kSavedByRoot = 1.0 / 3, kSavedWindows = 3;
 constexpr double kWeightSlack = 5e-5;  // rounding of part weights
 constexpr double kWide = 0.25;  // a query of more parts than this share of the servers could kill too many
 constexpr std::size_t kNoChance = 2;  // errors in a row, servers dead under a query: a single one is chance
@@ -551,7 +552,7 @@
     // core (neither cores nor the others' traffic are known). Where that is less than a part the window is
     // stretched, from a moment of its own for each instance: however many they are, their sum stays under.
     // Many that ask seldom, each at times of its own, may save up what they did not use: their sum is even.
-    const double windows = std::clamp(std::sqrt(set.aggregators) / 3, 1.0, kSavedWindows);
+    const double windows = std::clamp(kSavedByRoot * std::sqrt(set.aggregators), 1.0, kSavedWindows);
     const double share = kFairShare * set.tipMultiple * warmth(now - r.startedAt - set.tipWindow) *
                          num(set.tipWindow) / set.aggregators;
     const double window = num(set.tipWindow) * std::max(windows, partWork() / share);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -14,20 +14,20 @@
   w.run(6 * kSec, 60, 18);
   for (ServerId id : {4, 11, 20, 27}) w.node(id).slower = 20;
   w.run(4 * kSec, 60, 18);  // all have learned by then
-  w.sent.clear(), w.asked = w.inTime = 0;
+  w.firstTries.clear(), w.asked = w.inTime = 0;
   w.run(10 * kSec, 60, 18);
   int first = 0, sick = 0;
-  for (const auto& [id, count] : w.sent) {
-    first += count.first;
-    if (w.node(id).slower > 1) sick += count.first;
+  for (const auto& [id, count] : w.firstTries) {
+    first += count;
+    if (w.node(id).slower > 1) sick += count;
   }
   CHECK(sick * 100 < first * 1);  // their part of the fleet is 13 in 100
   CHECK(w.inTime * 100 > w.asked * 93);
   for (ServerId id : {4, 11, 20, 27}) w.node(id).slower = 1;
   w.run(15 * kSec, 60, 18);
-  w.sent.clear();
+  w.firstTries.clear();
   w.run(10 * kSec, 60, 18);
-  for (ServerId id : {4, 11, 20, 27}) CHECK(w.sent[id].first * 30 * 2 > first);  // half its part or more
+  for (ServerId id : {4, 11, 20, 27}) CHECK(w.firstTries[id] * 30 * 2 > first);  // half its part or more
 }
 
 // A cold server's neighbours go, so that all would turn to it. Each instance asks seldom: what it may send is
@@ -41,7 +41,7 @@
   w.add(10, 99, started);
   w.node(99).slower = 2;
   std::vector<Nanos> sends;
-  w.onSend = [&](ServerId id, bool) {
+  w.onSend = [&](ServerId id) {
     if (id == 99) sends.push_back(w.now);
   };
   w.tell();
--- a/tests/fleet_world.hpp
+++ b/tests/fleet_world.hpp
@@ -39,15 +39,11 @@
  public:
   struct Node {
     ServerEntry entry;
-    double slower = 1;     // 0: takes parts and answers nothing
-    bool refuses = false;  // every part is turned away
+    double slower = 1;
     int cores = 2, room = 40;
     int busy = 0;
     std::deque<std::function<void()>> waiting;
   };
-  struct Count {
-    int first = 0, further = 0;
-  };
 
   FleetWorld(int aggregators, int cells, unsigned seed = 1)
       : FleetWorld(fleetSettings(aggregators, cells), seed) {}
@@ -88,9 +84,9 @@
   }
 
   Nanos now = 1000 * kSec;
-  std::map<ServerId, Count> sent;
-  int asked = 0, inTime = 0, refused = 0;
-  std::function<void(ServerId, bool first)> onSend = [](ServerId, bool) {};
+  std::map<ServerId, int> firstTries;
+  int asked = 0, inTime = 0;
+  std::function<void(ServerId)> onSend = [](ServerId) {};
 
  private:
   struct Instance {
@@ -127,8 +123,6 @@
         *one.attempts.at(c->part).at(static_cast<std::size_t>(c->attempt)) = false;
       } else if (const auto* a = std::get_if<Answer>(&action)) {
         inTime += now - one.arrived.at(a->query) <= set_.classes[0].aim;
-      } else if (std::holds_alternative<Refuse>(action)) {
-        ++refused;
       } else if (const auto* t = std::get_if<SetTimer>(&action)) {
         after(t->wait, [this, &one, token = t->token] { turn(one, {TimerFired{token}}); });
       }
@@ -139,18 +133,17 @@
     auto& attempts = one.attempts[s.part];
     const int nth = static_cast<int>(attempts.size());
     const auto out = attempts.emplace_back(std::make_shared<bool>(true));
-    ++(nth == 0 ? sent[s.server].first : sent[s.server].further);
-    onSend(s.server, nth == 0);
+    firstTries[s.server] += nth == 0;
+    onSend(s.server);
     auto& node = nodes_.at(s.server);
     const auto end = [this, &one, s, nth, out, at = now](Outcome outcome) {
       if (!std::exchange(*out, false)) return;
       turn(one, {AttemptEnded{s.part, nth, s.server, outcome, now - at, {}}});
     };
-    const bool full = node.waiting.size() >= static_cast<std::size_t>(node.room);
-    if (node.refuses || full) return after(kMs, [end] { end(Outcome::rejected); });
+    if (node.waiting.size() >= static_cast<std::size_t>(node.room))
+      return after(kMs, [end] { end(Outcome::rejected); });
     node.waiting.push_back([this, &node, out, end] {
       if (!*out) return --node.busy, next(node);  // called off while it waited
-      if (node.slower == 0) return;
       const double work = std::gamma_distribution<double>(4, 5.0 * static_cast<double>(kMs))(random_);
       after(static_cast<Nanos>(node.slower * work), [this, &node, end] {
         --node.busy;
--- a/tests/node_pool_test.cpp
+++ b/tests/node_pool_test.cpp
@@ -57,6 +57,11 @@
     loop.after(time, [this] { loop.stop(); });
     loop.run();
   }
+  // Answered at once, enough of them to tell what answers take: b.0 to b.19, all on the first connection.
+  void twentyAnswers() {
+    speaker.say = [](const auto& parts) { return NodeSpeaker::answer(parts[0]); };
+    for (int i = 0; i < 20; ++i) start("b." + std::to_string(i));
+  }
   bool is(const std::string& partId, Outcome outcome) {
     const auto at = ended.find(partId);
     return at != ended.end() && at->second.first == outcome;
@@ -157,8 +162,7 @@
 // it is left to its slow node, and the next part does not open one more.
 void aNewConnectionIsNotSilent() {
   World w;
-  w.speaker.say = [](const auto& parts) { return good(parts[0]); };
-  for (int i = 0; i < 20; ++i) w.start("b." + std::to_string(i));
+  w.twentyAnswers();
   w.loop.after(100 * kMs, [&] {
     w.speaker.wanted = 3;
     w.speaker.say = [](const auto& parts) { return good(parts[0]) + good(parts[1]) + good(parts[2]); };
@@ -173,8 +177,7 @@
 // against the silent one, whose node may be slow.
 void onlyWhatWasSentLaterSpeaksAgainstIt() {
   World w;
-  w.speaker.say = [](const auto& parts) { return good(parts[0]); };
-  for (int i = 0; i < 20; ++i) w.start("b." + std::to_string(i));
+  w.twentyAnswers();
   w.loop.after(100 * kMs, [&] {
     w.speaker.wanted = 3;
     w.speaker.say = [](const auto&) { return good("b.0"); };
