Idle node connections give way at our own limit, nodes get the descriptors clients leave

A part that finds no place ends as not sent and uses up one of its four attempts; the fourth makes the query impossible. Cause: Side::poolOptions gave nodes a quarter of the descriptors (144 of 576) whatever the fleet's size, and NodePool::linkFor refused at that limit although nearly all connections were idle (kept for 24 s). Wide queries touch all of 170 leafs in turn. Harmless with 12 leafs. Checked and ruled out: connections refused or reset by leafs (no line node.connection_ended in 282 logs), leafs turning away (0 full). Change: at the limit the connection idle for longest gives way; the shares follow the list (two connections a node, a quarter at least for each side).

--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -119,6 +119,12 @@
   return news;
 }
 
+std::size_t Directory::serving() const {
+  return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](const auto& node) {
+    return node.second.entry.state == ServerState::up;
+  }));
+}
+
 const Directory::Node* Directory::find(ServerId id) const {
   const auto at = nodes_.find(id);
   return at == nodes_.end() ? nullptr : &at->second;
--- a/src/platform/directory.hpp
+++ b/src/platform/directory.hpp
@@ -35,8 +35,8 @@
 std::optional<NodeList> readNodeList(std::string_view json, const std::vector<std::string>& zones,
                                      std::string& why);
 
-// Keeps the numbers that stand for nodes inside the program, and their latest entries. Of nodes that have gone
-// only the latest few are kept: replaced day after day, they must not fill the memory.
+// Keeps the numbers that stand for nodes inside the program, and their latest entries. Of nodes that have
+// gone only the latest few are kept: replaced day after day, they must not fill the memory.
 class Directory {
  public:
   struct Node {
@@ -47,6 +47,7 @@
   ListNews apply(const NodeList& list, ListNews::Scope scope);
   const Node* find(ServerId id) const;
   const std::map<ServerId, Node>& all() const { return nodes_; }
+  std::size_t serving() const;  // how many are up
 
  private:
   std::map<std::string, ServerId> ids_;
--- a/src/platform/node_pool.cpp
+++ b/src/platform/node_pool.cpp
@@ -83,7 +83,7 @@
     if (!best || (link->connection->up() && !best->connection->up())) best = key;
   }
   if (best) return best;
-  if (links_.size() >= options_.mostConnections) {
+  if (links_.size() >= options_.mostConnections && !makeRoom()) {
     log_.line("node.connection_limit", node.entry.instance);
     return nullptr;
   }
@@ -93,6 +93,17 @@
   return links_.emplace(link.get(), link).first->first;
 }
 
+// Guards queries of a large fleet, which take turns over more nodes than there are descriptors: the
+// connection that has been idle for longest gives way, and only what is in use holds a place.
+bool NodePool::makeRoom() {
+  const Link* oldest = nullptr;
+  for (const auto& [key, link] : links_)
+    if (link->outs.empty() && (!oldest || link->lastUsed < oldest->lastUsed)) oldest = key;
+  if (!oldest) return false;
+  oldest->connection->end(net::ConnectionEnd::closedHere);
+  return true;
+}
+
 void NodePool::start(broker::AttemptOrder order) {
   const auto id = order.id;
   const auto* node = directory_.find(order.server);
--- a/src/platform/node_pool.hpp
+++ b/src/platform/node_pool.hpp
@@ -45,6 +45,7 @@
   };
 
   Link* linkFor(const Directory::Node& node, std::string_view partId);
+  bool makeRoom();
   bool useless(const Link& link) const;
   void write(Out& out);
   void finish(const broker::AttemptId& id, Outcome outcome, std::string value);
--- a/src/platform/side.cpp
+++ b/src/platform/side.cpp
@@ -1,7 +1,5 @@
 #include "platform/side.hpp"
 
-#include <algorithm>
-
 namespace topazweir::platform {
 
 Side::Side(net::Loop& loop, broker::Log& log, config::Config config, std::function<std::string()> counters)
@@ -18,27 +16,27 @@
       loop, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
       RetryPace(config_.terms.settings.aggregators, config_.terms.settings.seed),
       [this](const auto& list) { tell(list, list.full ? ListNews::Scope::full : ListNews::Scope::changes); });
-  front_.emplace(loop, log_,
-                 http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen), mostClients()},
-                 broker_, std::move(counters));
+  front_.emplace(
+      loop, log_,
+      http::Server::Options{"platform", Poco::Net::SocketAddress(config_.listen), shares().clients}, broker_,
+      std::move(counters));
 }
 
-// Of the descriptors a quarter is for nodes; a few are for the listeners, discovery, signals and files.
-std::size_t Side::mostClients() const {
-  constexpr std::size_t kOthers = 32;
-  const auto nodes = poolOptions().mostConnections;
-  return std::max(config_.sockets / 4, config_.sockets - std::min(config_.sockets, nodes + kOthers));
-}
+DescriptorShares Side::shares() const { return DescriptorShares::of(config_.sockets, directory_.serving()); }
 
 NodePool::Options Side::poolOptions() const {
-  return {config_.streamsPerConnection, config_.connectionIdle, config_.connectTimeout, config_.sockets / 4};
+  return {config_.streamsPerConnection, config_.connectionIdle, config_.connectTimeout, shares().nodes};
+}
+
+void Side::applyLimits() {
+  pool_.limit(poolOptions());
+  if (front_) front_->server().limit(shares().clients);
 }
 
 std::vector<std::string> Side::reload(config::Config fresh) {
   const auto keys = config::keepUntilRestart(config_, fresh);
   config_ = std::move(fresh);
-  pool_.limit(poolOptions());
-  front_->server().limit(mostClients());
+  applyLimits();
   broker_.agree(config_.terms);
   discovery_->moveTo(Poco::Net::SocketAddress(config_.discovery));
   return keys;
@@ -54,6 +52,7 @@
 
 void Side::tell(const NodeList& list, ListNews::Scope scope) {
   auto news = directory_.apply(list, scope);
+  applyLimits();
   log_.line("discovery.list", "generation=" + std::to_string(list.generation) + " entries=" +
                                   std::to_string(list.entries.size()) + (list.full ? " full" : ""));
   broker_.told(std::move(news));  // first: nothing new goes to nodes whose connections are about to end
--- a/src/platform/side.hpp
+++ b/src/platform/side.hpp
@@ -9,6 +9,7 @@
 #include "broker/broker.hpp"
 #include "config/config.hpp"
 #include "net/loop_clock.hpp"
+#include "platform/descriptor_shares.hpp"
 #include "platform/discovery.hpp"
 #include "platform/front.hpp"
 #include "platform/node_pool.hpp"
@@ -31,8 +32,9 @@
   bool quiet() const { return broker_.open() == 0 && front_->server().quiet(); }
 
  private:
-  std::size_t mostClients() const;
+  DescriptorShares shares() const;
   NodePool::Options poolOptions() const;
+  void applyLimits();
   void learnKnown();
   void tell(const NodeList& list, ListNews::Scope scope);
 
--- a/tests/node_pool_test.cpp
+++ b/tests/node_pool_test.cpp
@@ -3,6 +3,7 @@
 
 #include "check.hpp"
 #include "lab/stand_in.hpp"
+#include "platform/descriptor_shares.hpp"
 
 namespace topazweir::test {
 
@@ -47,10 +48,10 @@
     list.entries.push_back({.instance = "s", .address = Poco::Net::SocketAddress(node.address())});
     directory.apply(list, ListNews::Scope::full);
   }
-  broker::AttemptId start(const std::string& partId, Nanos wait = 5000 * kMs) {
+  broker::AttemptId start(const std::string& partId, Nanos wait = 5000 * kMs, ServerId to = 1) {
     const broker::AttemptId id{static_cast<broker::RequestNo>(names.size() + 1), 0, 0};
     names[id] = partId;
-    pool.start({id, 1, partId, 0, std::make_shared<const std::string>("x"), wait});
+    pool.start({id, to, partId, 0, std::make_shared<const std::string>("x"), wait});
     return id;
   }
   void run(Nanos time) {
@@ -198,6 +199,40 @@
   CHECK(w.is("a.2", Outcome::notSent));
 }
 
+// At that limit the connection that has been idle for longest gives way, one that is in use never.
+void idleConnectionsGiveWay() {
+  World w;
+  StandIn other(w.loop, w.speaker, Fault::none), third(w.loop, w.speaker, Fault::none);
+  platform::NodeList list;
+  for (const auto* node : {&w.node, &other, &third})
+    list.entries.push_back({.instance = "s" + std::to_string(list.entries.size()),
+                            .address = Poco::Net::SocketAddress(node->address())});
+  w.directory.apply(list, ListNews::Scope::full);
+  w.pool.limit({32, 0, 250 * kMs, 2});
+  w.speaker.say = [](const auto& parts) { return parts[0] == "a.1" ? std::string() : good(parts[0]); };
+  w.start("a.1", 5000 * kMs, 2);  // stays out
+  w.start("a.2", 5000 * kMs, 3);
+  w.loop.after(100 * kMs, [&] { w.start("a.3", 5000 * kMs, 4); });
+  w.run(300 * kMs);
+  CHECK(w.is("a.2", Outcome::delivered) && w.is("a.3", Outcome::delivered) && w.ended.count("a.1") == 0);
+  CHECK(w.pool.connections() == 2 && w.pool.opened() == 3);
+}
+
+// Many nodes take what clients of a large fleet leave; a few nodes leave it to the clients. None ever has
+// less than a quarter, and the sum stays within the limit.
+void descriptorsFollowTheFleet() {
+  for (const std::size_t sockets : {256UL, 576UL, 1024UL})
+    for (const std::size_t nodes : {0UL, 12UL, 60UL, 170UL, 5000UL}) {
+      const auto shares = platform::DescriptorShares::of(sockets, nodes);
+      CHECK(shares.nodes >= sockets / 4 && shares.clients >= sockets / 4);
+      CHECK(shares.nodes + shares.clients + 32 <= sockets);
+      CHECK(shares.nodes >= std::min(2 * nodes, sockets - sockets / 4 - 32));
+    }
+  CHECK(platform::DescriptorShares::of(576, 170).nodes == 340);
+  CHECK(platform::DescriptorShares::of(576, 12).nodes == 144);
+  CHECK(platform::DescriptorShares::of(20, 170).clients == 5);
+}
+
 }  // namespace
 }  // namespace topazweir::test
 
@@ -211,4 +246,6 @@
   aNewConnectionIsNotSilent();
   onlyWhatWasSentLaterSpeaksAgainstIt();
   ownLimitBlamesNobody();
+  idleConnectionsGiveWay();
+  descriptorsFollowTheFleet();
 }
