A jam of the whole fleet no longer feeds itself: budget of repeats, a refused share

All aggregators do so, which keeps all queues full: 28,000 parts turned away in 5 s. At fault: tend()/send() (no bound on such repeats), and atDoor(), which lets in every query as a trial where nothing is out: with a query every 1.8 s that is each query, so the door of one of 300 never shuts. A line request.unserved tells of each query not served how its attempts ended.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "broker/history.hpp"
+
 namespace topazweir::broker {
 
 Broker::Broker(Terms terms, Clock& clock, Backend& backend, Log& log)
@@ -179,11 +181,12 @@
 
 // The request is about to get its final answer: what is still out for it is called off first, while the
 // backend's attempts can still be named.
-RequestNo Broker::end(const std::string& query) {
+RequestNo Broker::end(const std::string& query, bool answered) {
   const auto no = Route::parse(query).request;
   auto* open = open_.find(no);
   if (!open || open->streaming) return 0;
   send_.cancelAll(no, *open);
+  if (!answered) log_.line("request.unserved", history(*open, terms_.settings, clock_.now()));
   return no;
 }
 
@@ -201,13 +204,13 @@
     id.attempt = cancel->attempt;
     if (const auto* open = open_.find(id.request); open && !open->streaming) send_.cancel(id);
   } else if (const auto* answer = std::get_if<Answer>(&action)) {
-    const auto no = end(answer->query);
+    const auto no = end(answer->query, true);
     book_.answer(no, answer->whole);
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
-    const auto no = end(refuse->query);
+    const auto no = end(refuse->query, false);
     book_.refuse(no, refuse->retryAfter);
   } else if (const auto* fail = std::get_if<Fail>(&action)) {
-    const auto no = end(fail->query);
+    const auto no = end(fail->query, false);
     book_.fail(no, false);
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
     const Nanos at = clock_.now() + timer->wait;
--- a/src/broker/broker.hpp
+++ b/src/broker/broker.hpp
@@ -56,7 +56,7 @@
   void run();   // a turn of the module, now or together with what else comes
   void turn();  // now
   void carryOut(const Action& action);
-  RequestNo end(const std::string& query);  // 0: it is over, or the client's already
+  RequestNo end(const std::string& query, bool answered);  // 0: it is over, or the client's already
   void expire(Nanos now);
   void arm();
   void over(RequestNo no);  // tells the module so and goes on
--- a/src/broker/open.hpp
+++ b/src/broker/open.hpp
@@ -15,6 +15,7 @@
   ServerId server = 0;
   Nanos sentAt = 0;
   bool out = true;
+  std::optional<Outcome> end{};  // how, once it is not out any more
 };
 
 // Its answer has begun: the request belongs to this attempt, and only its end or the client's time ends it.
--- a/src/broker/relay.cpp
+++ b/src/broker/relay.cpp
@@ -12,6 +12,7 @@
   auto& attempt = part.attempts[nth];
   if (!attempt.out) return std::nullopt;
   attempt.out = false;
+  attempt.end = outcome;
   ++counters_.ends[static_cast<std::size_t>(outcome)];
   if (outcome == Outcome::delivered && !part.delivered) {
     part.delivered = true;
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -10,7 +10,7 @@
   if (!open || at >= open->parts.size()) return std::nullopt;
   auto& part = open->parts[at];
   const AttemptId attempt{id.request, id.part, static_cast<int>(part.attempts.size())};
-  part.attempts.push_back(Attempt{order.server, now, true});
+  part.attempts.push_back(Attempt{order.server, now});
   // Guards the rule on attempts, and that nothing is sent past the client's time, whatever the module asks.
   const int most =
       limitOf(terms_.settings, terms_.settings.classes[static_cast<std::size_t>(open->request.queryClass)]);
@@ -38,6 +38,7 @@
   auto& attempt = open->parts[part].attempts[at];
   if (!attempt.out) return;
   attempt.out = false;
+  attempt.end = Outcome::cancelled;
   ++counters_.ends[static_cast<std::size_t>(Outcome::cancelled)];
   backend_.cancel(id);
 }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,10 +25,12 @@
 constexpr double kTwinShare = 0.10, kCopyShare = 0.18;  // of parts: the design's tenth; all under a fifth
 constexpr double kCopyBudget = 0.5;    // of a told budget: the rest is kept for parts that have failed
 constexpr double kResendShare = 0.15;  // time-outs per part: for a few sick servers, no storm when all are
-constexpr double kTrialShare = 0.03;   // of parts: sent to benched servers, to learn whether they are back
-constexpr double kTokenCap = 4;        // copies that may be saved up: a burst of them must stay small
-constexpr double kEpsilon = 1;         // ns above the round's largest delay, as in the paper
-constexpr double kAsideRatio = 1.5;    // a set-aside replica is taken when all others look this much slower
+constexpr double kRepeatShare =
+    0.2;  // of parts: turned away and sent once more, before the query is given up
+constexpr double kTrialShare = 0.03;  // of parts: sent to benched servers, to learn whether they are back
+constexpr double kTokenCap = 4;       // copies that may be saved up: a burst of them must stay small
+constexpr double kEpsilon = 1;        // ns above the round's largest delay, as in the paper
+constexpr double kAsideRatio = 1.5;   // a set-aside replica is taken when all others look this much slower
 constexpr double kOwnQueue = 0.5, kOwnAtDoor = 1.0;  // parts' work an own part out adds: ranking (each), door
 constexpr double kSeenQueue = 0.5;  // the same where peers tell what they send: parts share a server's cores
 constexpr double kCorrect = 0.5;    // of the error in a reckoned queue that an own answer sets right
@@ -49,6 +51,8 @@
 constexpr double kDoor = 1.3, kDoorAdvised = 0.6;  // of the aim: refused beyond, without and with advice
 // The door's correction: so that this share took no longer; largest step; share of the aim that teaches.
 constexpr double kInTime = 0.75, kBiasStep = 0.1, kEdge = 0.2;
+// Of queries, refused by chance when all were late; up to so many aggregators each knows enough for itself.
+constexpr double kShed = 0.9, kFewAggregators = 4, kJamStep = 0.5;
 constexpr double kCalm = 1.25, kJammed = 2.0;  // median over the calmest: copies cost nobody, or feed queues
 constexpr double kBaseDrift = 0.02;            // of the unqueued delay is forgotten in an aim: speeds change
 constexpr double kFairShare = 0.6;  // part of this aggregator's share of a cold server's limit that is used
@@ -133,6 +137,7 @@
   double loadThen = -1;  // what a fresh probe told; below 0: none
   bool out = true;
   bool mayHaveRun = true;  // until proven otherwise
+  bool rejected = false;
 };
 
 struct Part {
@@ -166,6 +171,9 @@
   bool proven = false;                // a server has survived a part of it
   std::vector<const Server*> lost{};  // servers whose connection broke under it
   std::vector<Part> parts{};
+  bool tried() const {
+    return std::any_of(parts.begin(), parts.end(), [](const Part& p) { return !p.attempts.empty(); });
+  }
   bool anyOut() const {
     return std::any_of(parts.begin(), parts.end(), [](const Part& p) { return p.isOut(); });
   }
@@ -227,13 +235,14 @@
   std::deque<Nanos> taken, extras;                 // within the budget's window
   std::vector<std::pair<Nanos, int>> tryTime;      // by class, of a client's first try, and votes for it
   Nanos lastDeath = -1;                            // a connection broke
-  double twinTokens = 1, copyTokens = 1, resendTokens = 1, trialTokens = 1;
+  double twinTokens = 1, copyTokens = 1, resendTokens = 1, trialTokens = 1, repeatTokens = kTokenCap;
 
   std::deque<double> samples;  // delays of the latest delivered parts
   double low = 0, median = 0, high = 0;
   double unqueued = 0;  // delay of a part that meets no queue
   double calm = 0;      // median delay in the calmest time
   Nanos unqueuedAt = 0, timerAt = -1;
+  Fading jam;        // how late the latest queries were: 0 all in good time, 1 all past their aim
   double bias = 1;   // time taken over what the door expected, at most so in kInTime of the queries
   double trust = 1;  // share of probes that told a load in time
   Line loads;        // delays by the load that was told
@@ -567,6 +576,8 @@
     if (part.delivered || part.step != q.step || now >= q.due) return false;
     if (part.attempts.empty()) return true;
     if (num(part.attempts.size()) >= limitOf(set, *q.cls)) return false;
+    // Guards a fleet whose queues are full: repeats at all other holders, by all, would keep them so.
+    if (part.attempts.back().rejected && unseen() > 0 && repeatTokens < 1) return false;
     if (part.isOut() && !(set.secondCopies && q.cls->copies)) return false;
     for (const auto& a : part.attempts) {
       if (!a.mayHaveRun) continue;
@@ -576,6 +587,9 @@
     return budgetLeft(1);
   }
 
+  // How much of what is sent this aggregator has to reckon with and does not see: nothing in a small fleet.
+  double unseen() const { return std::max(0.0, 1 - kFewAggregators / set.aggregators); }
+
   bool budgetLeft(double share) {
     if (!set.budget) return true;
     while (!taken.empty() && taken.front() <= now - set.budget->window) taken.pop_front();
@@ -585,7 +599,10 @@
 
   bool send(Query& q, Part& part, Server& r) {
     if (!mayReceive(r, part) || !mayAttempt(q, part)) return false;
-    if (!part.attempts.empty()) extras.push_back(now);
+    if (!part.attempts.empty()) {
+      extras.push_back(now);
+      if (part.attempts.back().rejected) repeatTokens = std::max(0.0, repeatTokens - 1);
+    }
     if (part.attempts.empty()) {
       const double width = num(q.parts.size());
       const auto earn = [&](double& tokens, double share) {  // a wide query's own may be spent at once
@@ -596,6 +613,7 @@
       earn(copyTokens, kCopyShare * call * relief());
       earn(resendTokens, kResendShare);
       earn(trialTokens, kTrialShare);
+      earn(repeatTokens, kRepeatShare);
     }
     if (r.bench > 0) trialTokens = std::max(0.0, trialTokens - 1);
     part.wanted = true;
@@ -737,6 +755,7 @@
     if (full || none || e.outcome == Outcome::notSent) a.mayHaveRun = false;
     if (full || e.outcome == Outcome::error) r.waitsSince = now, r.waited = 0;
     if (e.outcome == Outcome::notSent || e.outcome == Outcome::cancelled) return;
+    a.rejected = full;
     queue(r, -1);
     if (const auto at = std::find(lastSent.begin(), lastSent.end(), &r); at != lastSent.end())
       lastSent.erase(at);
@@ -890,6 +909,11 @@
     const bool stale = hearing() && num(now - unqueuedAt) > num(shortestAim);
     if (q.step == 1 && bias * slowest > door && ((known() && !stale) || slowest == kInfinite))
       return !refuse(q, nanos(slowest < kInfinite ? slowest / 2 : work()));
+    // One of many hears too seldom that a fleet is jammed: to it each query is a trial, and all try. Guards
+    // against jams that feed themselves; each refuses a share by what its latest queries have met.
+    const double shed = kShed * unseen() * faded(jam, 0);
+    if (q.step == 1 && shed > 0 && unit() < shed)
+      return !refuse(q, nanos((0.5 + unit()) * kCloseAims * num(shortestAim)));
     q.hoped = slowest;
     mix(q);
     sendAll(q);
@@ -969,6 +993,7 @@
     if (now < q.due - 2 * set.tick && !worthless && possible(q)) return false;
     if (may) return answer(q, false);
     if (q.planned) learnBias(q);
+    if (q.tried()) learnJam(1);
     // Where it is this aggregator that can't go on another may: its client is told to come back at once.
     return refuse(q, worthless ? set.maxRetryAfter : nanos(work()));
   }
@@ -991,8 +1016,12 @@
     bias = std::clamp(bias + kBiasStep * edge * (above ? kInTime : kInTime - 1), 0.25, 1.25);
   }
 
+  void learnJam(double late) { jam = {faded(jam, 0) + kJamStep * (late - faded(jam, 0)), now}; }
+
   bool answer(Query& q, bool whole) {
     learnBias(q);
+    learnJam(
+        std::clamp((num(now - q.arrived) / num(q.cls->aim) - kDoorAdvised) / (1 - kDoorAdvised), 0.0, 1.0));
     actions.push_back(Answer{q.id, whole});
     cancelAll(q);
     if (q.step == 1 && q.cls->secondStepParts > 0) {  // its parts come in the next turn
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -99,6 +99,9 @@
   CHECK(w.finals[no].size() == 1 && w.finals[no][0].first <= taken + 1000 * kMs);
   CHECK(w.finals[no][0].second.verdict == broker::Verdict::refused && w.finals[no][0].second.retryAfter > 0);
   CHECK(w.core.counters().sent <= 8);
+  CHECK(w.lines.find("request.unserved id=q class=a after_ms=") != std::string::npos);
+  CHECK(w.lines.find(" in=0/2 attempts=" + std::to_string(w.core.counters().sent) + " cancelled=") !=
+        std::string::npos);
   for (const auto& order : w.orders)
     CHECK(std::find(w.cancelled.begin(), w.cancelled.end(), order.id) != w.cancelled.end());
 }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -58,6 +58,21 @@
   }
 }
 
+// More is asked for than the fleet can do: parts turned away by full servers are not sent to all other
+// holders in turn, and each instance refuses a share at the door, so that most of what is taken on is still
+// in time.
+void jamsDoNotFeedThemselves() {
+  FleetWorld w(100, 30);
+  w.run(5 * kSec, 110, 18);
+  w.asked = w.inTime = 0;
+  w.run(8 * kSec, 230, 18);  // 166 is all that it can do
+  CHECK(w.inTime * 100 > w.asked * 52);
+  w.run(2 * kSec, 110, 18);
+  w.asked = w.inTime = 0;
+  w.run(3 * kSec, 110, 18);
+  CHECK(w.inTime * 100 > w.asked * 85);  // and it is over soon after
+}
+
 }  // namespace
 }  // namespace topazweir::test
 
@@ -65,4 +80,5 @@
   using namespace topazweir::test;
   sickServersAreTriedByCopies();
   coldServersWorkAndDoNotTip();
+  jamsDoNotFeedThemselves();
 }
