Signals are handled, not blocked and waited for: SIGHUP no longer ends the program

A blocked signal keeps its default action, which holds as soon as the process waits with another mask, as a loaded library may. Checked and ruled out: another thread that does not block them. Change: a handler notes each signal in one lock-free word and the loop takes it from there; the mask is cleared at the start. cli_test raises the signals unblocked and takes them; with the former code the process ends there.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <random>
 
+#include "cli/signals.hpp"
 #include "config/config.hpp"
 
 namespace topazweir::cli {
@@ -19,13 +20,6 @@
 constexpr Nanos kAcceptAfterTerm = 800 * kMs;
 constexpr Nanos kEndPoll = 10 * kMs;
 
-sigset_t handledSignals() {
-  sigset_t set;
-  sigemptyset(&set);
-  for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
-  return set;
-}
-
 std::string environment(const char* name) {
   const char* value = std::getenv(name);
   return value ? value : "";
@@ -67,11 +61,6 @@
 
 }  // namespace
 
-void blockSignals() {
-  const auto set = handledSignals();
-  sigprocmask(SIG_BLOCK, &set, nullptr);
-}
-
 std::optional<config::Config> readPlatform(const Options& options) {
   if (!options.platformText.empty()) return config::read(options.platformText);
   const auto file = options.config.empty() ? environment("NODE_CONFIG") : options.config;
@@ -195,9 +184,7 @@
 }
 
 void Program::watchSignals() {
-  const auto set = handledSignals();
-  const timespec none{};
-  for (int signal = 0; (signal = sigtimedwait(&set, nullptr, &none)) > 0;) {
+  for (const int signal : takeSignals()) {
     if (signal == SIGUSR1) {
       std::cerr << counters() << std::flush;
     } else if (signal == SIGHUP) {
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -51,10 +51,6 @@
   bool ending_ = false;
 };
 
-// The signals that the program handles are blocked and asked for: nothing runs in a signal's context. To be
-// called before any thread is started.
-void blockSignals();
-
 int run(const Options& options);
 
 }  // namespace topazweir::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,12 +8,13 @@
 #include "cli/inspect.hpp"
 #include "cli/options.hpp"
 #include "cli/serve.hpp"
+#include "cli/signals.hpp"
 
 int main(int count, char** words) {
   using namespace topazweir;
   const auto parsed = cli::parse(count, words);
   if (!parsed.options) return parsed.exit;
-  cli::blockSignals();
+  cli::catchSignals();
   try {
     switch (parsed.options->command) {
       case cli::Options::Command::run:
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "check.hpp"
+#include "cli/signals.hpp"
 #include "lab/grpc_stand_in.hpp"
 #include "lab/stand_in.hpp"
 #include "scratch.hpp"
@@ -129,10 +130,29 @@
   backends.join();
 }
 
+// A signal that is not blocked where it arrives, as in what a loaded library waits for, does not end the
+// program, and one that was blocked at the start is not lost.
+void signalsAreNoted() {
+  sigset_t hangup;
+  sigemptyset(&hangup), sigaddset(&hangup, SIGHUP);
+  sigprocmask(SIG_BLOCK, &hangup, nullptr);  // as a parent may leave it
+  ::raise(SIGHUP);
+  cli::catchSignals();
+  CHECK(cli::takeSignals() == std::vector<int>{SIGHUP});
+  ::raise(SIGHUP), ::raise(SIGHUP), ::raise(SIGTERM);
+  CHECK((cli::takeSignals() == std::vector<int>{SIGTERM, SIGHUP}) && cli::takeSignals().empty());
+  sigprocmask(SIG_BLOCK, &hangup, nullptr);
+  ::raise(SIGHUP);
+  CHECK(cli::takeSignals().empty());
+  sigprocmask(SIG_UNBLOCK, &hangup, nullptr);
+  CHECK(cli::takeSignals() == std::vector<int>{SIGHUP});
+}
+
 }  // namespace
 }  // namespace topazweir::test
 
 int main(int, char** words) {
+  topazweir::test::signalsAreNoted();
   topazweir::test::words(words[1]);
   topazweir::test::rereads(words[1]);
 }
