--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,12 +25,11 @@
 constexpr double kTwinShare = 0.10, kCopyShare = 0.18;  // of parts: the design's tenth; all under a fifth
 constexpr double kCopyBudget = 0.5;    // of a told budget: the rest is kept for parts that have failed
 constexpr double kResendShare = 0.15;  // time-outs per part: for a few sick servers, no storm when all are
-constexpr double kRepeatShare =
-    0.2;  // of parts: turned away and sent once more, before the query is given up
-constexpr double kTrialShare = 0.03;  // of parts: sent to benched servers, to learn whether they are back
-constexpr double kTokenCap = 4;       // copies that may be saved up: a burst of them must stay small
-constexpr double kEpsilon = 1;        // ns above the round's largest delay, as in the paper
-constexpr double kAsideRatio = 1.5;   // a set-aside replica is taken when all others look this much slower
+constexpr double kRepeatShare = 0.2;   // of parts: repeats of what was turned away, in a large fleet
+constexpr double kTrialShare = 0.03;   // of parts: sent to benched servers, to learn whether they are back
+constexpr double kTokenCap = 4;        // copies that may be saved up: a burst of them must stay small
+constexpr double kEpsilon = 1;         // ns above the round's largest delay, as in the paper
+constexpr double kAsideRatio = 1.5;    // a set-aside replica is taken when all others look this much slower
 constexpr double kOwnQueue = 0.5, kOwnAtDoor = 1.0;  // parts' work an own part out adds: ranking (each), door
 constexpr double kSeenQueue = 0.5;  // the same where peers tell what they send: parts share a server's cores
 constexpr double kCorrect = 0.5;    // of the error in a reckoned queue that an own answer sets right
