--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -67,7 +67,7 @@
   if (open->streaming) return open->streaming->attempt == id.attempt;
   auto& attempts = open->parts.front().attempts;
   const auto nth = static_cast<std::size_t>(id.attempt);
-  if (id.part != 0 || nth >= attempts.size() || !attempts[nth].out) return false;
+  if (id.part != 0 || nth >= attempts.size() || !attempts[nth].out()) return false;
   open->streaming = Streaming{id.part, id.attempt};
   ++counters_.streamed;
   send_.cancelOthers(id.request, *open);
--- a/src/broker/open.hpp
+++ b/src/broker/open.hpp
@@ -14,8 +14,8 @@
 struct Attempt {
   ServerId server = 0;
   Nanos sentAt = 0;
-  bool out = true;
-  std::optional<Outcome> end{};  // how, once it is not out any more
+  std::optional<Outcome> end{};  // how it ended
+  bool out() const { return !end; }
 };
 
 // Its answer has begun: the request belongs to this attempt, and only its end or the client's time ends it.
--- a/src/broker/relay.cpp
+++ b/src/broker/relay.cpp
@@ -10,8 +10,7 @@
   if (!open || at >= open->parts.size() || nth >= open->parts[at].attempts.size()) return std::nullopt;
   auto& part = open->parts[at];
   auto& attempt = part.attempts[nth];
-  if (!attempt.out) return std::nullopt;
-  attempt.out = false;
+  if (!attempt.out()) return std::nullopt;
   attempt.end = outcome;
   ++counters_.ends[static_cast<std::size_t>(outcome)];
   if (outcome == Outcome::delivered && !part.delivered) {
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -36,8 +36,7 @@
   const auto part = static_cast<std::size_t>(id.part), at = static_cast<std::size_t>(id.attempt);
   if (!open || part >= open->parts.size() || at >= open->parts[part].attempts.size()) return;
   auto& attempt = open->parts[part].attempts[at];
-  if (!attempt.out) return;
-  attempt.out = false;
+  if (!attempt.out()) return;
   attempt.end = Outcome::cancelled;
   ++counters_.ends[static_cast<std::size_t>(Outcome::cancelled)];
   backend_.cancel(id);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -601,8 +601,7 @@
     if (!part.attempts.empty()) {
       extras.push_back(now);
       if (part.attempts.back().rejected) repeatTokens = std::max(0.0, repeatTokens - 1);
-    }
-    if (part.attempts.empty()) {
+    } else {
       const double width = num(q.parts.size());
       const auto earn = [&](double& tokens, double share) {  // a wide query's own may be spent at once
         tokens = std::min(std::max({kTokenCap, tokens, share * width}), tokens + share);
