All that is open is answered before the kill; unsent parts come back; lists are cut as JSON

Log of n4: 22.040 draining, nothing after 24.155, no "stopped": killed 2.7 s after the signal, deadlines of 2 s. At fault: kAcceptAfterTerm of 0.8 s (cli/serve.cpp), TakeIn::take, which knew no end but the client's. Change: Broker::endBy: one time by which all that is open, or still comes, has its final answer; the exit is bounded by it and waits for lingering clients. Frames wait in NodePool until the connection takes them: a leaf told draining, gone or replaced, a window for repeats that is over, a client that has left call them back (not sent). A resting connection is looked at before it is used. A process is ready with its first list, after 3 s without. A request read behind which its client has left is not begun. An eviction that reads a request serves it.

--- a/src/broker/broker.hpp
+++ b/src/broker/broker.hpp
@@ -46,6 +46,8 @@
   void sentElsewhere(ServerId server, Nanos at);
   // So many aggregators send to the same nodes from now on, and this is that one of them.
   void fleet(int aggregators, int number) { route_.add(FleetChanged{aggregators, number}); }
+  // The program ends: what is open then has its final answer by that time, and so has what comes after.
+  void endBy(Nanos at);
   // New limits and quotas from now on; the module's settings and the tenants' names stay as they are.
   void agree(const Terms& terms);
   void wake();
@@ -78,6 +80,7 @@
   Book book_;
   std::multimap<Nanos, std::int64_t> timers_;  // the module's
   bool turnAwaited_ = false;
+  Nanos endBy_ = std::numeric_limits<Nanos>::max();
   Nanos armedFor_ = std::numeric_limits<Nanos>::max();
 };
 
--- a/src/broker/open.hpp
+++ b/src/broker/open.hpp
@@ -1,6 +1,8 @@
 // The open requests: what has been taken and not yet got its final answer.
 #pragma once
 
+#include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,6 +18,9 @@
   Nanos sentAt = 0;
   std::optional<Outcome> end{};  // how it ended
   bool out() const { return !end; }
+  bool mayHaveRun() const {
+    return !end || (*end != Outcome::rejected && *end != Outcome::connectFailed && *end != Outcome::notSent);
+  }
 };
 
 // Its answer has begun: the request belongs to this attempt, and only its end or the client's time ends it.
@@ -33,10 +38,18 @@
 struct OpenRequest {
   Request request;
   Front* front = nullptr;
-  Nanos takenAt = 0, due = 0;
+  Nanos takenAt = 0;
+  Nanos due = 0;  // its final answer: the client's time is up, or the program's
   std::shared_ptr<const std::string> query;
   std::vector<OpenPart> parts;
   std::optional<Streaming> streaming;
+  Nanos clientDue() const { return takenAt + request.timeLeft; }
+  bool mayHaveRun() const {
+    return std::any_of(parts.begin(), parts.end(), [](const OpenPart& part) {
+      return std::any_of(part.attempts.begin(), part.attempts.end(),
+                         [](const Attempt& attempt) { return attempt.mayHaveRun(); });
+    });
+  }
 };
 
 class OpenRequests {
@@ -60,6 +73,14 @@
     byDue_.erase({at->second.due, no});
     byNo_.erase(at);
   }
+  // All that would be due later is due then.
+  void shorten(Nanos due) {
+    for (auto at = byDue_.upper_bound({due, std::numeric_limits<RequestNo>::max()}); at != byDue_.end();
+         at = byDue_.erase(at)) {
+      byNo_.at(at->second).due = due;
+      byDue_.emplace(due, at->second);  // before `at`: not met again
+    }
+  }
   std::size_t held() const { return held_; }  // queries and parts
   std::size_t count() const { return byNo_.size(); }
   // The first whose time is up; none: none is.
--- a/src/broker/ports.hpp
+++ b/src/broker/ports.hpp
@@ -63,7 +63,8 @@
   std::string partId;  // the client's id, a dot, the shard
   int shard = 0;
   std::shared_ptr<const std::string> query;
-  Nanos wait = 0;  // how long the answer is waited for
+  Nanos wait = 0;     // how long the answer is waited for
+  Nanos writeBy = 0;  // it must not leave later: a repeat would be one too many then; 0: whenever
 };
 
 class Backend {
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -6,7 +6,8 @@
 
 void Route::addRequest(RequestNo no, const OpenRequest& open) {
   const auto& r = open.request;
-  add(QueryArrived{queryId(no), no, r.queryClass, r.timeLeft, static_cast<int>(r.parts.size()), r.repeat});
+  add(QueryArrived{queryId(no), no, r.queryClass, open.due - open.takenAt, static_cast<int>(r.parts.size()),
+                   r.repeat});
   for (std::size_t i = 0; i < r.parts.size(); ++i)
     add(PartArrived{partId(no, i), no, r.parts[i].shard, r.parts[i].weight});
 }
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -4,6 +4,16 @@
 
 namespace topazweir::broker {
 
+// A repeat of a keyed part is dropped by the servers only for so long after the first attempt that may have
+// run; what waits for a connection must not leave later.
+Nanos SendOut::writeBy(const OpenRequest& open, const OpenPart& part) const {
+  const auto& cls = terms_.settings.classes[static_cast<std::size_t>(open.request.queryClass)];
+  if (cls.effect != Effect::keyed) return open.due;
+  const auto first = std::find_if(part.attempts.begin(), part.attempts.end() - 1,
+                                  [](const Attempt& attempt) { return attempt.mayHaveRun(); });
+  return first == part.attempts.end() - 1 ? open.due : std::min(open.due, first->sentAt + cls.keyedWindow);
+}
+
 std::optional<AttemptId> SendOut::send(const AttemptId& id, const Send& order, Nanos now) {
   auto* open = open_.find(id.request);
   const auto at = static_cast<std::size_t>(id.part);
@@ -25,9 +35,9 @@
     if (tenant < counters_.tenants.size()) ++counters_.tenants[tenant].furtherAttempts;
   }
   ++counters_.sent;
-  backend_.start(AttemptOrder{attempt, order.server, open->request.id + '.' + std::to_string(part.shard),
-                              part.shard, open->query,
-                              order.timeout > 0 ? std::min(order.timeout, left) : left});
+  backend_.start(AttemptOrder{
+      attempt, order.server, open->request.id + '.' + std::to_string(part.shard), part.shard, open->query,
+      order.timeout > 0 ? std::min(order.timeout, left) : left, writeBy(*open, part)});
   return std::nullopt;
 }
 
--- a/src/broker/send.hpp
+++ b/src/broker/send.hpp
@@ -21,6 +21,8 @@
   void cancelOthers(RequestNo no, OpenRequest& open);  // all but the one that the request belongs to
 
  private:
+  Nanos writeBy(const OpenRequest& open, const OpenPart& part) const;
+
   const Terms& terms_;
   OpenRequests& open_;
   Backend& backend_;
--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -1,5 +1,6 @@
 #include "broker/take_in.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 
@@ -30,11 +31,11 @@
   return std::nullopt;
 }
 
-RequestNo TakeIn::take(Request request, Front& front, Nanos now) {
+RequestNo TakeIn::take(Request request, Front& front, Nanos now, Nanos end) {
   OpenRequest open;
   open.front = &front;
   open.takenAt = now;
-  open.due = now + request.timeLeft;
+  open.due = std::min(now + request.timeLeft, end);
   open.query = std::make_shared<const std::string>(std::move(request.query));
   for (const auto& part : request.parts) open.parts.push_back(OpenPart{part.shard, {}, false, {}});
   open.request = std::move(request);
--- a/src/broker/take_in.hpp
+++ b/src/broker/take_in.hpp
@@ -14,7 +14,8 @@
   TakeIn(const Terms& terms, OpenRequests& open) : terms_(terms), open_(open) {}
   // What is wrong with the request, in words for its client; none: it is taken.
   std::optional<std::string> fault(const Request& request) const;
-  RequestNo take(Request request, Front& front, Nanos now);
+  // `end`: no final answer is given after that.
+  RequestNo take(Request request, Front& front, Nanos now, Nanos end);
 
  private:
   const Terms& terms_;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -21,8 +21,14 @@
 
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kSignalPoll = 20 * kMs;
-// After SIGTERM new clients keep coming until the layer in front has seen /up turn.
-constexpr Nanos kAcceptAfterTerm = 800 * kMs;
+// After SIGTERM new clients keep coming until the layer in front has seen /up turn. What comes later than
+// 700 ms after the signal has to be answered before the process is killed, so all ends a little sooner.
+constexpr Nanos kAcceptAfterTerm = 650 * kMs;
+// The kill comes no sooner than this and the longest deadline after the signal, of which no more than
+// kCounted counts. Whatever is open so long before it gets its final answer then, and has kLastWords to be
+// written.
+constexpr Nanos kKillAfter = 700 * kMs, kCounted = 3000 * kMs, kBeforeKill = 250 * kMs,
+                kLastWords = 150 * kMs;
 // With a younger process in its place there is nobody to wait for: what is idle then is idle for good, and
 // what came before has the time to be finished.
 constexpr Nanos kIdleAfterTerm = 600 * kMs;
@@ -250,8 +256,9 @@
   platform_->sentElsewhere(send.instance, send.at);
 }
 
-operation::Prepared Program::prepare() {
-  platform_->pool().connectAll();
+operation::Prepared Program::prepare(bool follows) {
+  // One that follows nobody makes its connections as they are needed.
+  if (follows) platform_->pool().connectAll();
   return {platform_->listTold() || !ops_->inheritedList().empty(), platform_->pool().settled()};
 }
 
@@ -374,19 +381,30 @@
     // The other process accepts on the same socket; what is kept open here ends with its next answer.
     if (followed) server.endWithAnswers(true), server.stopListening(true);
   }
+  if (platform_) {
+    Nanos longest = 0;
+    for (const auto& c : platform_->config().terms.settings.classes) longest = std::max(longest, c.deadline);
+    answeredBy_ = loop_.now() + std::min(longest, kCounted) + kKillAfter - kBeforeKill;
+    platform_->endBy(answeredBy_);
+  }
   if (fleet_) followed ? fleet_->stop() : fleet_->says(membership::Duty::leaving);
   if (grpc_) grpc_->front().drain();
   loop_.after(followed ? kIdleAfterTerm : kAcceptAfterTerm, [this] { finish(); });
 }
 
-// Ends once all that was taken has its answer, written whole.
+// Ends once all that was taken has its answer, written whole, and its clients have read it; where the
+// platform kills what lasts, in any case before.
 void Program::finish() {
   if (platform_) platform_->front().server().stopAccepting();
+  const bool late = platform_ && loop_.now() >= answeredBy_;
+  if (late) platform_->front().server().endUnfinished();
   if (features_) features_->server().stopAccepting();
   if (grpc_) grpc_->front().stopAccepting();
   const bool quiet = (!platform_ || platform_->quiet()) && (!grpc_ || grpc_->front().quiet()) &&
                      (!features_ || (features_->broker().open() == 0 && features_->server().quiet()));
-  if (quiet) {
+  if (quiet || (late && loop_.now() >= answeredBy_ + kLastWords)) {
+    if (!quiet)
+      log_.line("ended_with_open", "clients=" + std::to_string(platform_->front().server().connections()));
     std::cerr << counters() << std::flush;
     if (fleet_) fleet_->leave();
     if (ops_) ops_->ended();
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -46,7 +46,7 @@
   void sentElsewhere(const operation::ColdSends::Send& send) override;
   void clientsChanged() override;
   void share(bool shared) override { platform_->share(shared); }
-  operation::Prepared prepare() override;
+  operation::Prepared prepare(bool follows) override;
   void serve() override { platform_->front().server().startAccepting(); }
   std::string list() const override { return platform_->list(); }
   std::optional<std::string> answer(std::string_view line) const override;
@@ -69,6 +69,7 @@
   std::optional<fleet::Side> fleet_;
   std::optional<snmp::Agent> snmp_;
   bool ending_ = false;
+  Nanos answeredBy_ = 0;  // ending: by then all that is open has its final answer
   net::Loop::TimerId sendAwayTimer_{};
 };
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::int64_t kMany = 1'000'000;
-constexpr Nanos kSecond = 1'000'000'000, kLongest = 3600 * kSecond;
+constexpr Nanos kSecond = 1'000'000'000, kLongest = 30 * 24 * 3600 * kSecond;  // such as a window for repeats
 
 Nanos time(const Reader& json, std::string_view path, Nanos absent) {
   return json.integer(path, 0, kLongest, absent);
@@ -122,6 +122,7 @@
   for (const auto& c : out.terms.settings.classes)
     out.terms.longestDeadline = std::max(out.terms.longestDeadline, 10 * c.deadline);
   out.zones = settings.texts("localities");
+  out.pushed = settings.text("discovery", "on_request") == "pushed";
   out.streamsPerConnection = static_cast<std::size_t>(settings.integer("limits.streamsPerConn", 1, kMany, 1));
   out.connectTimeout = settings.integer("limits.connectTimeoutNs", 1, kLongest, kSecond / 4);
   out.connectionIdle = time(settings, "limits.connIdleNs", 30 * kSecond);
@@ -139,6 +140,7 @@
   keep("listen", running.listen, fresh.listen);
   keep("ops", running.ops, fresh.ops);
   keep("settings.localities", running.zones, fresh.zones);
+  keep("settings.discovery", running.pushed, fresh.pushed);
   const auto names = [](const Config& config) {
     std::vector<std::string> out;
     for (const auto& contract : config.terms.contracts) out.push_back(contract.tenant);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -18,6 +18,8 @@
   std::size_t sockets = 1024;     // descriptors that the process may hold
   broker::Terms terms;
   std::vector<std::string> zones;
+  bool pushed =
+      false;  // lists come to an agent beside the program, which answers at once; else one service is asked
   std::size_t streamsPerConnection = 1;
   Nanos connectTimeout = 0, connectionIdle = 0;
   std::optional<int> listener;  // descriptor of the clients' listening socket, where the platform holds it
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -46,6 +46,7 @@
   bool finishAtEnd();
   const Fault& fault() const { return fault_; }
   bool headSeen() const { return stage_ != Stage::head; }
+  bool bodySeen() const { return bodyEnd_ > bodyAt_; }  // some of it, be it before a fault
   // Valid once the head has been seen, until the input is touched.
   Head head(const std::string& input) const;
   std::string_view body(const std::string& input) const;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -100,9 +100,14 @@
     if (client.idle() && (client.asked || unasked) && loop_.now() - client.since >= longerThan &&
         (!oldest || client.since < oldest->since))
       oldest = &client;
-  if (!oldest || oldest->connection->readMore()) return false;
-  log_.line("http.connection_limit", options_.name + " closed an idle connection");
+  if (!oldest) return false;
   const auto connection = oldest->connection;
+  // What has been read here the loop will not speak of again: a request that crossed the close is served.
+  if (connection->readMore()) {
+    onData(*connection);
+    return false;
+  }
+  log_.line("http.connection_limit", options_.name + " closed an idle connection");
   connection
       ->close();  // its descriptor is needed now, and there is nothing unread that would make it a reset
   drop(*connection);
@@ -118,10 +123,12 @@
   serve(at->second);
 }
 
-// One exchange after the other; what a client sends ahead waits in the input.
+// One exchange after the other; what a client sends ahead waits in the input. A client that has left is not
+// worked for, though its request is here.
 void Server::serve(Client& client) {
   const auto connection = client.connection;  // kept: the handler may answer, and with that end it
   while (client.exchange == 0 && !client.connection->input().empty()) {
+    if (connection->peerLeft()) return connection->end(net::ConnectionEnd::peerClosed);
     switch (client.parser.parse(connection->input())) {
       case Parser::Progress::more:
         return;
@@ -149,6 +156,7 @@
   const auto connection = client.connection;
   connection->write(std::move(head), std::move(response.body));
   connection->closeGently();
+  connection->input() = {};  // it may be much, and it lingers
   drop(*connection);
 }
 
@@ -192,13 +200,9 @@
   if (open_ && open() < options_.mostConnections) listen(true);
 }
 
-// Guards against an exit that cuts an answer short which its client has not read yet.
-bool Server::quiet() const {
-  return clients_.empty() && std::none_of(closing_.begin(), closing_.end(), [](const auto& weak) {
-           const auto connection = weak.lock();
-           return connection && !connection->ended() && !connection->flushed();
-         });
-}
+// Guards against an exit that cuts an answer short which its client has not read yet: what a client sends
+// meanwhile would stand unread behind it, and a close over that is a reset.
+bool Server::quiet() const { return open() == 0; }
 
 void Server::onEnd(net::Connection& connection, net::ConnectionEnd) {
   const auto at = clients_.find(&connection);
@@ -213,24 +217,18 @@
 // an end in time, however they spread their bytes. A client is never answered before it has begun to ask.
 void Server::sweep() {
   sweepTimer_ = loop_.after(kSweep, [this] { sweep(); });
-  std::vector<std::shared_ptr<net::Connection>> slow;
-  for (auto& [key, client] : clients_)
+  std::vector<std::shared_ptr<net::Connection>> slow, left;
+  for (auto& [key, client] : clients_) {
     if (client.exchange == 0 && (!client.asked || client.begun) &&
         loop_.now() - client.since > options_.requestTime)
       slow.push_back(client.connection);
+    if (client.exchange != 0 && client.connection->peerLeft()) left.push_back(client.connection);
+  }
+  for (const auto& connection : left) connection->end(net::ConnectionEnd::peerClosed);
   for (const auto& connection : slow) {
-    connection->readMore();
-    const auto at = clients_.find(connection.get());
-    if (at == clients_.end()) continue;
-    serve(at->second);  // it may have come in whole just now
-    const auto still = clients_.find(connection.get());
-    if (still == clients_.end() || still->second.exchange != 0) continue;
-    if (!connection->input().empty()) {
-      reject(still->second, Fault{408, "the request did not come in"});
-    } else if (!still->second.asked) {
-      connection->closeGently();
-      drop(*connection);
-    }
+    if (hurry(connection) != Hurried::nothing || clients_.at(connection.get()).asked) continue;
+    connection->closeGently();
+    drop(*connection);
   }
   const auto roomy = static_cast<std::size_t>(kRoomy * static_cast<double>(options_.mostConnections));
   while (open_ && clients_.size() > roomy && closeIdle(options_.idleTime, false)) {
@@ -261,19 +259,40 @@
   endIdle();
 }
 
-// A connection that has just been opened is about to bring its request, unless no more are accepted.
+// Its time is up: a request that has come in whole by now is served, one that has not is turned down.
+Server::Hurried Server::hurry(const std::shared_ptr<net::Connection>& connection) {
+  connection->readMore();
+  if (!connection->input().empty()) onData(*connection);
+  const auto at = clients_.find(connection.get());
+  if (at == clients_.end() || at->second.exchange != 0) return Hurried::served;
+  if (connection->input().empty()) return Hurried::nothing;
+  reject(at->second, Fault{408, "the request did not come in"});
+  return Hurried::turnedDown;
+}
+
+void Server::endUnfinished() {
+  std::vector<std::shared_ptr<net::Connection>> unasked;
+  for (auto& [key, client] : clients_)
+    if (client.exchange == 0) unasked.push_back(client.connection);
+  for (const auto& connection : unasked) {
+    if (hurry(connection) != Hurried::nothing) continue;
+    connection->closeGently();
+    drop(*connection);
+  }
+}
+
+// A connection that has just been opened is about to bring its request.
 void Server::endIdle() {
   std::vector<std::shared_ptr<net::Connection>> idle;
   for (auto& [key, client] : clients_)
-    if (client.exchange == 0 && (!open_ || client.asked || loop_.now() - client.since >= kYoung))
+    if (client.exchange == 0 && (client.asked || loop_.now() - client.since >= kYoung))
       idle.push_back(client.connection);
   for (const auto& connection : idle) {
     // A request that has arrived, read or not, is taken: it is served before the connection ends.
     connection->readMore();
-    const auto at = clients_.find(connection.get());
-    if (at == clients_.end()) continue;
+    if (clients_.find(connection.get()) == clients_.end()) continue;
     if (!connection->input().empty()) {
-      serve(at->second);
+      onData(*connection);
       continue;
     }
     connection->closeGently();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -54,7 +54,10 @@
   void stopListening(bool shared = false);
   // Closes the listener, and each connection as soon as nothing is open on it.
   void stopAccepting();
-  bool quiet() const;  // after stopAccepting: all has been answered and written whole
+  // After stopAccepting: what has not come in whole is turned down, and what is idle ends.
+  void endUnfinished();
+  // After stopAccepting: all has been answered, written whole and read by its clients, as far as they read.
+  bool quiet() const;
   std::size_t connections() const { return clients_.size(); }
   Poco::Net::SocketAddress address() const { return listener_.address(); }
 
@@ -78,6 +81,8 @@
   void serve(Client& client);
   void reject(Client& client, const Fault& fault);
   void drop(net::Connection& connection);
+  enum class Hurried { nothing, served, turnedDown };
+  Hurried hurry(const std::shared_ptr<net::Connection>& connection);
   void sweep();
   bool makeRoom();
   bool closeIdle(Nanos longerThan, bool unasked);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Observer.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -159,6 +160,15 @@
   if (state_ == State::up && flushed()) owner_->onFlushed(*this);
 }
 
+bool Connection::peerLeft() const {
+  if (sawEnd_ || state_ == State::ended) return true;
+  if (readable_ || state_ == State::connecting) return false;  // the loop will say so
+  pollfd look{fd(), POLLRDHUP, 0};
+  return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+// Reads on to where nothing waits: an end behind the last byte is seen together with it, and what a peer
+// asked for that has left meanwhile is not begun.
 bool Connection::receive() {
   if (state_ == State::ended || state_ == State::connecting) return false;
   std::array<char, 65536> chunk;
@@ -178,7 +188,6 @@
       break;
     }
     input_.append(chunk.data(), static_cast<std::size_t>(got));
-    if (static_cast<std::size_t>(got) < chunk.size()) break;
   }
   return input_.size() > before;
 }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -45,6 +45,9 @@
   bool flushed() const { return queued_ == written_; }
   // Reads what has arrived but was not seen yet; false: there was nothing.
   bool readMore() { return receive(); }
+  // The peer has closed or broken it, and input() holds the last that it sent; where reading is put off, the
+  // end may stand behind what has not been read.
+  bool peerLeft() const;
   // To be called after input has been used up: reading may have been put off.
   void resume() {
     if (state_ == State::up && input_.size() < kMostInput) watch(true, writable_);
--- a/src/net/connection_end.hpp
+++ b/src/net/connection_end.hpp
@@ -39,8 +39,9 @@
     case ConnectionEnd::reset:
     case ConnectionEnd::writeFailed:
     case ConnectionEnd::peerFault:
-    case ConnectionEnd::replaced:
       return written ? Outcome::reset : Outcome::connectFailed;
+    case ConnectionEnd::replaced:  // the new process is not to blame for it
+      return written ? Outcome::reset : Outcome::notSent;
     case ConnectionEnd::badPeer:  // it runs, and may have run this; a reset would say that it has died
       return written ? Outcome::error : Outcome::notSent;
     case ConnectionEnd::silent:
--- a/src/operation/operation.cpp
+++ b/src/operation/operation.cpp
@@ -81,7 +81,8 @@
 
 bool Operation::mayServe(const Prepared& prepared, Nanos now) const {
   if (phase_ != Phase::starting) return false;
-  return !accompanied(now) || (prepared.list && prepared.connected) || now - self_.startedAt >= kLongestStart;
+  return (prepared.list && (prepared.connected || !accompanied(now))) ||
+         now - self_.startedAt >= kLongestStart;
 }
 
 void Operation::serves() {
--- a/src/operation/operation.hpp
+++ b/src/operation/operation.hpp
@@ -22,10 +22,10 @@
   Change change;
 };
 
-// What a process that follows another one waits for before it takes clients.
+// What a process waits for before it takes clients.
 struct Prepared {
   bool list = false;       // of leafs: discovery's, or the one that the other process last had
-  bool connected = false;  // to the leafs, as far as they can be reached
+  bool connected = false;  // to the leafs, as far as they can be reached; only where it follows another one
 };
 
 class Operation {
@@ -38,8 +38,10 @@
   Change heard(const Record& record, Nanos now);
   void sent(const std::string& instance, Nanos startedAt, Nanos now) { cold_.note(instance, startedAt, now); }
 
-  // May a process that is starting take clients now? One that follows nobody may at once; one that follows
-  // another when it is prepared, and in any case after kLongestStart.
+  // May a process that is starting take clients now? When it is prepared, and in any case after
+  // kLongestStart: what discovery has to say counts as told from its first moment, whatever an older list
+  // says, but a silent discovery must not keep it from serving. Only one that follows another waits for
+  // connections.
   bool mayServe(const Prepared& prepared, Nanos now) const;
   void serves();
   void ends() { phase_ = Phase::ending; }
--- a/src/ops/side.cpp
+++ b/src/ops/side.cpp
@@ -45,10 +45,8 @@
   if (folder_) look();
 }
 
-// A process that follows nobody takes clients at once, from within run().
 void Side::prepare() {
-  // Not asked of one that follows nobody: it makes its connections as they are needed.
-  const auto prepared = follows() ? host_->prepare() : operation::Prepared{};
+  const auto prepared = host_->prepare(follows());
   if (!operation_.mayServe(prepared, loop_.now())) {
     prepareTimer_ = loop_.after(kPrepare, [this] { prepare(); });
     return;
--- a/src/ops/side.hpp
+++ b/src/ops/side.hpp
@@ -19,11 +19,12 @@
   virtual bool listed(std::string_view instance) const = 0;  // has discovery ever named this leaf?
   virtual void moved(const std::vector<std::string>& leafs) = 0;
   virtual void sentElsewhere(const operation::ColdSends::Send& send) = 0;
-  virtual void clientsChanged() = 0;          // takesClients() or drained() may be another
-  virtual void share(bool shared) = 0;        // limits with another process, or no longer
-  virtual operation::Prepared prepare() = 0;  // for taking clients; asked again until it is enough
-  virtual void serve() = 0;                   // take clients from now on
-  virtual std::string list() const = 0;       // of leafs, in discovery's form
+  virtual void clientsChanged() = 0;    // takesClients() or drained() may be another
+  virtual void share(bool shared) = 0;  // limits with another process, or no longer
+  virtual operation::Prepared prepare(
+      bool follows) = 0;                 // for taking clients; asked again until it is enough
+  virtual void serve() = 0;              // take clients from now on
+  virtual std::string list() const = 0;  // of leafs, in discovery's form
   // Calls that are not operation's; none: the line is no such call.
   virtual std::optional<std::string> answer(std::string_view line) const = 0;
 };
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -28,9 +28,11 @@
   std::string_view id, hostPort, zone, state;
   std::int64_t cell = 0, started = 0;
   NodeEntry out;
+  const bool zoned = from["zone"].error() != simdjson::NO_SUCH_FIELD;  // a site may have none
   if (!get(from, "instanceId", id, why) || !get(from, "hostPort", hostPort, why) ||
-      !get(from, "zone", zone, why) || !get(from, "cell", cell, why) || !get(from, "lifecycle", state, why) ||
-      !get(from, "weight", out.weight, why) || !get(from, "startedAtMs", started, why))
+      (zoned && !get(from, "zone", zone, why)) || !get(from, "cell", cell, why) ||
+      !get(from, "lifecycle", state, why) || !get(from, "weight", out.weight, why) ||
+      !get(from, "startedAtMs", started, why))
     return std::nullopt;
   const auto wrong = [&](const char* key) {
     why = "key " + std::string(key) + ": out of range";
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -1,13 +1,41 @@
 #include "platform/discovery.hpp"
 
+#include <utility>
+
 namespace topazweir::platform {
 
 namespace {
-constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kConnectTime = 500 * kMs;
-constexpr Nanos kSilence = 2800 * kMs;  // a sound watch says something every 2 s
+bool isBlank(char c) { return c == ' ' || c == '\t' || c == '\r' || c == '\n'; }
 }  // namespace
 
+std::optional<std::string> ListCutter::next() {
+  for (; read_ < text_.size(); ++read_) {
+    const char c = text_[read_];
+    if (depth_ == 0) {
+      if (isBlank(c)) continue;
+      if (c != '{') {
+        fault_ = "not a JSON object";
+        return std::nullopt;
+      }
+      start_ = read_, depth_ = 1;
+    } else if (inText_) {
+      if (!std::exchange(escaped_, c == '\\' && !escaped_) && c == '"') inText_ = false;
+    } else if (c == '"') {
+      inText_ = true;
+    } else if (c == '{' || c == '[') {
+      ++depth_;
+    } else if ((c == '}' || c == ']') && --depth_ == 0) {
+      const auto list = text_.substr(start_, read_ + 1 - start_);
+      text_.erase(0, read_ + 1);
+      read_ = 0;
+      return list;
+    }
+  }
+  if (depth_ == 0) text_.clear(), read_ = 0;  // blanks
+  if (text_.size() > most_) fault_ = "too long";
+  return std::nullopt;
+}
+
 Discovery::Discovery(net::Loop& loop, broker::Log& log, Poco::Net::SocketAddress address,
                      std::vector<std::string> zones, std::int64_t generation, RetryPace pace, Told told)
     : loop_(loop),
@@ -17,6 +45,7 @@
       generation_(generation),
       pace_(std::move(pace)),
       told_(std::move(told)) {
+  pace_.moved(loop_.now());  // what counts as told to a new process is as urgent
   connect();
 }
 
@@ -32,20 +61,20 @@
   if (address == address_) return;
   address_ = std::move(address);
   drop();
-  pace_.succeeded();
+  pace_.moved(loop_.now());
   connect();
 }
 
 void Discovery::connect() {
   parser_ = http::Parser(http::Side::response, kLimits);
-  lines_.clear();
-  connection_ = net::Connection::connect(loop_, address_, kConnectTime, *this);
+  lists_ = ListCutter(kMostList);
+  connection_ = net::Connection::connect(loop_, address_, pace_.connectTime(), *this);
 }
 
-void Discovery::retry(std::string_view why) {
+void Discovery::retry(std::string_view why, bool refused) {
   log_.line("discovery.lost", why);
   drop();
-  timer_ = loop_.after(pace_.next(), [this] { connect(); });
+  timer_ = loop_.after(pace_.next(loop_.now(), refused), [this] { connect(); });
 }
 
 // A watch whose other end has vanished stays open and silent: it is opened anew.
@@ -57,39 +86,50 @@
 void Discovery::onUp(net::Connection& connection) {
   connection.write("GET /discovery/hosts?watch=1&from=" + std::to_string(generation_) +
                    " HTTP/1.1\r\nHost: " + address_.toString() + "\r\n\r\n");
-  watchSilence(pace_.patience());
+  watchSilence(pace_.patience(loop_.now()));
 }
 
+// Lists that have come in are applied before what ends the watch, be it in the same read.
 void Discovery::onData(net::Connection& connection) {
-  watchSilence(kSilence);
   const auto progress = parser_.parse(connection.input());
-  if (progress == http::Parser::Progress::fault) return retry(parser_.fault().why);
-  if (!parser_.headSeen()) return;
-  if (const int status = parser_.head(connection.input()).status; status != 200)
-    return retry("status " + std::to_string(status));
-  lines_ += parser_.takeBody(connection.input());
-  if (!takeLines()) return;
+  const bool fault = progress == http::Parser::Progress::fault;
+  if (parser_.headSeen() && (!fault || parser_.bodySeen())) {
+    if (const int status = parser_.head(connection.input()).status; status != 200)
+      return retry("status " + std::to_string(status), true);
+    const auto body = parser_.takeBody(connection.input());
+    if (!body.empty()) heard();
+    lists_.add(body);
+    if (!takeLists()) return;
+  }
+  if (fault) return retry(parser_.fault().why);
   if (progress == http::Parser::Progress::complete) retry("the watch has ended");
 }
 
-bool Discovery::takeLines() {
-  for (std::size_t end = 0; (end = lines_.find('\n')) != std::string::npos;) {
-    const std::string line = lines_.substr(0, end);
-    lines_.erase(0, end + 1);
-    if (line.find_first_not_of(" \r") == std::string::npos) continue;
+// A word is a byte of the body that can belong to a list: half a head, or half a list that grows for ever, is
+// no life, though the connection be busy.
+void Discovery::heard() {
+  if (lists_.midway()) return;
+  pace_.heard(loop_.now());
+  watchSilence(RetryPace::kSilence);
+}
+
+bool Discovery::takeLists() {
+  while (const auto text = lists_.next()) {
     std::string why;
-    auto list = readNodeList(line, zones_, why);
+    auto list = readNodeList(*text, zones_, why);
     if (!list) {
       retry("bad list: " + why);
       return false;
     }
+    pace_.heard(loop_.now());
     pace_.succeeded();
+    watchSilence(RetryPace::kSilence);
     list->stale = list->generation < generation_;
     generation_ = list->generation;
     told_(*list);
   }
-  if (lines_.size() > kMostLine) {
-    retry("bad list: too long");
+  if (!lists_.fault().empty()) {
+    retry("bad list: " + std::string(lists_.fault()));
     return false;
   }
   return true;
--- a/src/platform/node_pool.cpp
+++ b/src/platform/node_pool.cpp
@@ -35,6 +35,7 @@
   Nanos startedAt;  // of the process behind it
   std::shared_ptr<net::Connection> connection;
   std::map<std::string, broker::AttemptId, std::less<>> outs;  // by the part's id
+  std::deque<broker::AttemptId> waiting;                       // in order; not all of them may be out still
   std::deque<std::string> over;                                // ids of parts that were out before
   Nanos lastUsed = 0, heardAt = 0;
   Nanos answeredSentAt = 0;         // when the youngest part that it has answered was sent
@@ -55,11 +56,12 @@
   }
   // Guards against parts that would wait behind what never ends, or could not be told from earlier ones.
   bool takes(std::string_view partId, std::size_t streams) const {
-    return outs.size() < streams && !suspect && !spoilt && !midFrame && outs.count(partId) == 0 &&
-           !wasOut(partId);
+    return outs.size() < streams && !suspect && !spoilt && !midFrame && !connection->peerLeft() &&
+           outs.count(partId) == 0 && !wasOut(partId);
   }
   void onUp(net::Connection&) override { pool.onUp(*this); }
   void onData(net::Connection&) override { pool.onData(*this); }
+  void onFlushed(net::Connection&) override { pool.writeWaiting(*this); }
   void onEnd(net::Connection&, net::ConnectionEnd end) override { pool.onEnd(*this, end); }
 };
 
@@ -83,7 +85,7 @@
     if (link->server != node.id || !link->takes(partId, options_.streams)) continue;
     if (!best || (link->connection->up() && !best->connection->up())) best = key;
   }
-  if (best) return best;
+  if (best && !closedMeanwhile(*best)) return best;
   if (links_.size() >= options_.mostConnections && !makeRoom()) {
     log_.line("node.connection_limit", node.entry.instance);
     return nullptr;
@@ -91,6 +93,20 @@
   return open(node);
 }
 
+// Guards attempts against a connection that the node's machine has closed while it rested, which the loop has
+// not come to yet: what is written to it may have run, as far as can be told.
+bool NodePool::closedMeanwhile(Link& link) {
+  if (!link.connection->up() || !link.outs.empty()) return false;
+  if (link.connection->readMore()) {  // words on parts that are over; the loop will not speak of them again
+    const std::weak_ptr<Link> weak = links_.at(&link);
+    loop_.soon([this, weak] {
+      const auto self = weak.lock();
+      if (self && links_.count(self.get()) > 0) onData(*self);
+    });
+  }
+  return link.connection->peerLeft();
+}
+
 NodePool::Link* NodePool::open(const Directory::Node& node) {
   auto link = std::make_shared<Link>(*this, node.id, node.entry.startedAt);
   link->connection = net::Connection::connect(loop_, node.entry.address, options_.connectTime, *link);
@@ -127,13 +143,41 @@
 void NodePool::start(broker::AttemptOrder order) {
   const auto id = order.id;
   const auto* node = directory_.find(order.server);
-  auto* link = node ? linkFor(*node, order.partId) : nullptr;
+  // Guards the rule on leaving nodes, whatever is asked.
+  const bool serves = node && node->entry.state == ServerState::up;
+  auto* link = serves ? linkFor(*node, order.partId) : nullptr;
   if (!link) return ended_(id, Outcome::notSent, {});  // our own limit: nothing that the node is to blame for
   link->outs[order.partId] = id;
   link->lastUsed = loop_.now();
   const auto timer = loop_.after(order.wait, [this, id] { timedOut(id); });
-  Out& out = outs_[id] = Out{std::move(order), links_.at(link), 0, 0, timer};
-  if (link->connection->up()) write(out);
+  outs_[id] = Out{std::move(order), links_.at(link), 0, 0, timer};
+  link->waiting.push_back(id);
+  if (link->connection->up()) writeWaiting(*link);
+}
+
+// As long as the connection takes them at once; what stands behind is written when it has.
+void NodePool::writeWaiting(Link& link) {
+  while (!link.waiting.empty() && link.connection->flushed()) {
+    const auto at = outs_.find(link.waiting.front());
+    link.waiting.pop_front();
+    if (at == outs_.end() || at->second.link.get() != &link || at->second.frameEnd > 0) continue;
+    if (const Nanos by = at->second.order.writeBy; by == 0 || loop_.now() <= by) {
+      write(at->second);
+      continue;
+    }
+    const std::weak_ptr<Link> weak =
+        at->second.link;  // from the loop: this may be called from within start()
+    loop_.soon([this, weak, id = at->first] {
+      if (!weak.expired()) finish(id, Outcome::notSent, {});
+    });
+  }
+}
+
+std::vector<broker::AttemptId> NodePool::unsent(const Link& link) const {
+  std::vector<broker::AttemptId> out;
+  for (const auto& [partId, id] : link.outs)
+    if (outs_.at(id).frameEnd == 0) out.push_back(id);
+  return out;
 }
 
 void NodePool::write(Out& out) {
@@ -149,7 +193,7 @@
   loop_.cancel(out.timer);
   Link& link = *out.link;
   link.outs.erase(out.order.partId);
-  link.over.push_back(out.order.partId);
+  if (out.frameEnd > 0) link.over.push_back(out.order.partId);
   if (link.over.size() > kOverKept) link.over.pop_front();
   link.lastUsed = loop_.now();
 }
@@ -214,7 +258,7 @@
 
 void NodePool::onUp(Link& link) {
   link.waitsSince = loop_.now();
-  for (const auto& [partId, id] : link.outs) write(outs_.at(id));
+  writeWaiting(link);
 }
 
 // All that has come is read before any of it is acted on. Good answers before a spoilt one count, and so does
@@ -315,6 +359,15 @@
 }
 
 void NodePool::listChanged() {
+  // Called back first: what they answer may go elsewhere, and their connections have less to wait for.
+  std::vector<broker::AttemptId> back;
+  for (const auto& [key, link] : links_) {
+    const auto* node = directory_.find(link->server);
+    if (node && node->entry.state == ServerState::up && node->entry.startedAt <= link->startedAt) continue;
+    const auto these = unsent(*link);
+    back.insert(back.end(), these.begin(), these.end());
+  }
+  for (const auto& id : back) finish(id, Outcome::notSent, {});
   std::vector<std::shared_ptr<Link>> stale;
   for (const auto& [key, link] : links_)
     if (useless(*link)) stale.push_back(link);
--- a/src/platform/node_pool.hpp
+++ b/src/platform/node_pool.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "broker/log.hpp"
 #include "broker/ports.hpp"
@@ -29,7 +30,8 @@
 
   void start(broker::AttemptOrder order) override;
   void cancel(const broker::AttemptId& id) override;
-  // After the directory has changed: what leads to a process that is no more ends.
+  // After the directory has changed: what leads to a process that is no more ends, and what has not left for
+  // a node that serves no more is called back; it cannot have run.
   void listChanged();
   void limit(Options options) { options_ = options; }  // holds from now on
   // Opens a connection to each node that serves and has none, as far as there is room: a process that follows
@@ -45,8 +47,10 @@
   struct Out {  // an attempt that is out
     broker::AttemptOrder order;
     std::shared_ptr<Link> link;
-    std::uint64_t frameEnd = 0;  // offset behind its frame among the bytes written; 0: not queued yet
-    Nanos queuedAt = 0;          // its frame
+    // Offset behind its frame among the bytes written; 0: none of it has left. Frames wait here and not with
+    // the connection, so that they can be called back.
+    std::uint64_t frameEnd = 0;
+    Nanos queuedAt = 0;  // its frame
     net::Loop::TimerId timer;
   };
 
@@ -54,7 +58,10 @@
   Link* open(const Directory::Node& node);
   bool makeRoom();
   bool useless(const Link& link) const;
+  bool closedMeanwhile(Link& link);
   void write(Out& out);
+  void writeWaiting(Link& link);
+  std::vector<broker::AttemptId> unsent(const Link& link) const;
   void finish(const broker::AttemptId& id, Outcome outcome, std::string value);
   void release(const Out& out);
   void giveUp(const broker::AttemptId& id);
--- a/src/platform/side.cpp
+++ b/src/platform/side.cpp
@@ -23,12 +23,13 @@
             }),
       broker_(config_.terms, clock_, noting_, log_) {
   learnKnown();
-  discovery_.emplace(loop, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
-                     RetryPace(config_.terms.settings.aggregators, config_.terms.settings.seed),
-                     [this](const auto& list) {
-                       listTold_ = true, generation_ = list.generation;
-                       tell(list, list.full ? ListNews::Scope::full : ListNews::Scope::changes);
-                     });
+  discovery_.emplace(
+      loop, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
+      RetryPace(config_.terms.settings.aggregators, config_.pushed, config_.terms.settings.seed),
+      [this](const auto& list) {
+        listTold_ = true, generation_ = list.generation;
+        tell(list, list.full ? ListNews::Scope::full : ListNews::Scope::changes);
+      });
   http::Server::Options options{"platform", Poco::Net::SocketAddress(config_.listen), shares().clients};
   options.inherited = operated_.listener;
   options.accepts = operated_.accepts;
--- a/src/platform/side.hpp
+++ b/src/platform/side.hpp
@@ -47,6 +47,8 @@
   void sentElsewhere(const std::string& instance, Nanos at);
   // So many aggregators send to the same nodes.
   void fleet(int aggregators, int number) { broker_.fleet(aggregators, number); }
+  // The process ends: all that is open then has its final answer by that time.
+  void endBy(Nanos at) { broker_.endBy(at); }
   // Another process of this aggregator is there: each keeps to half of the descriptors.
   void share(bool shared);
   // Shards that no node serves, whoever has taken the last one out.
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -149,6 +149,59 @@
   CHECK(w.finals.empty() && w.core.counters().abandoned == 1);
 }
 
+// The process is to end: what is open and what still comes has its one final answer by then, told whether it
+// may be asked again: not where something that must not run twice may have run.
+void endsAllInTime() {
+  auto agreed = terms();
+  agreed.maxOpen = 0;
+  agreed.settings.classes.push_back(agreed.settings.classes.front());
+  agreed.settings.classes.back().effect = Effect::unsafe;
+  for (const auto took : {std::optional<Outcome>(), std::optional(Outcome::delivered)}) {
+    World w(agreed);
+    auto one = w.request("safe"), two = w.request("unsafe"), brief = w.request("brief");
+    two.queryClass = 1, brief.timeLeft = 100 * kMs;
+    const auto safe = w.take(one), unsafe = w.take(two), first = w.take(brief);
+    if (took)
+      for (const auto& order : std::vector(w.orders))
+        if (order.id.request == unsafe && order.id.part == 0) w.core.attemptEnded(order.id, *took, "value");
+    const Nanos by = w.time + 200 * kMs;
+    w.core.endBy(by);
+    auto late = w.request("late");
+    late.timeLeft = 900 * kMs;
+    const auto last = w.take(late);
+    for (const auto& order : w.orders) CHECK(order.id.request != last || order.wait <= by - w.time);
+    w.pass(2000 * kMs);
+    for (const auto no : {safe, unsafe, first, last}) {
+      CHECK(w.finals[no].size() == 1 && w.finals[no][0].first <= by);
+      CHECK(w.finals[no][0].second.verdict ==
+            (no == unsafe ? broker::Verdict::failed : broker::Verdict::refused));
+    }
+    CHECK(w.finals[first][0].first < by && w.core.open() == 0);
+    const auto after = w.take(w.request("after"));
+    CHECK(w.finals[after][0].second.verdict == broker::Verdict::refused && w.core.open() == 0);
+  }
+}
+
+// A repeat of a keyed part may not leave after its window, counted from the first attempt that may have run.
+void repeatsKnowTheirWindow() {
+  auto agreed = terms();
+  agreed.settings.classes[0].effect = Effect::keyed;
+  agreed.settings.classes[0].keyedWindow = 300 * kMs;
+  World w(agreed);
+  w.take(w.request("q"));
+  const auto orders = w.orders;
+  const Nanos due = w.time + 1000 * kMs;
+  CHECK(orders.size() == 2 && orders[0].writeBy == due);
+  const Nanos first = w.time;
+  w.time += 50 * kMs;
+  w.core.attemptEnded(orders[0].id, Outcome::connectFailed);  // it cannot have run: no window begins
+  CHECK(w.orders.size() == 3 && w.orders[2].writeBy == due);
+  w.core.attemptEnded(w.orders[2].id, Outcome::delivered, "value");
+  w.core.attemptEnded(orders[1].id, Outcome::reset);  // it may have
+  w.pass(100 * kMs);
+  CHECK(w.orders.size() == 4 && w.orders[3].id.part == 1 && w.orders[3].writeBy == first + 300 * kMs);
+}
+
 void senselessRequests() {
   World w(terms());
   const auto odd = [&](auto change) {
@@ -191,5 +244,7 @@
   holdsNoMoreThanAgreed();
   clientLeaves();
   senselessRequests();
+  endsAllInTime();
+  repeatsKnowTheirWindow();
   logIsRateLimited();
 }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -39,6 +39,13 @@
   CHECK(config.sockets == 512 && config.terms.settings.seed == 0x8c1f30d27a5be964ULL);
   CHECK(config.terms.settings.classes[0].floor == 0.8 && config.terms.settings.classes[0].need == 1);
   CHECK(config.terms.contracts[0].quotaPerS == 2 && config.connectTimeout == 250'000'000);
+  // Another customer's: a day's window, no zones, no tenants, lists that are pushed.
+  const auto other = config::read(
+      changed(changed(kGood, R"("realms":[{"name":"coast","share":0.27,"quotaPerS":2}],)",
+                      R"("discovery":"pushed",)"),
+              R"("name":"wide")", R"("name":"x","semantics":"by_key","windowNs":86400000000000)"));
+  CHECK(other.terms.settings.classes[0].keyedWindow == 86'400'000'000'000 && other.terms.contracts.empty());
+  CHECK(other.pushed && !config.pushed && other.zones.empty());
   const struct {
     std::string from, to, names;
   } faults[] = {
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -135,8 +135,12 @@
   const auto& entry = list->entries[0];
   CHECK(entry.zone == 1 && entry.cell == 3 && entry.state == ServerState::draining &&
         entry.startedAt == 5'000'000);
+  auto bare = kList;  // of a site without zones
+  bare.replace(bare.find(R"("zone":"b",)"), std::string(R"("zone":"b",)").size(), "");
+  CHECK(platform::readNodeList(bare, {}, why));
   for (const auto& [from, to] : {std::pair<std::string, std::string>{"\"cell\":3", "\"cell\":-1"},
                                  {"Terminating", "Odd"},
+                                 {"\"zone\":\"b\"", "\"zone\":3"},
                                  {"10.1.0.18:8080", "host:80"},
                                  {"\"weight\":1.0", "\"weight\":\"x\""}}) {
     auto odd = kList;
