--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -63,6 +63,9 @@
     } catch (const Poco::Exception& error) {  // the client left meanwhile, or no descriptor was left
       if (error.code() == EAGAIN || error.code() == EWOULDBLOCK) return;  // another process was quicker
       log_.line("http.accept_failed", options_.name + " " + error.displayText());
+      // Who can't be accepted waits on, and the loop would be told so without end: not before the next sweep.
+      const int code = error.code();
+      if (code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM) listen(false);
       return;
     }
     Client& client = clients_[connection.get()];
--- a/src/platform/node_pool.cpp
+++ b/src/platform/node_pool.cpp
@@ -325,6 +325,10 @@
   if (!begun) return;
   link.frameTimer = loop_.after(kFrameTime, [this, &link] {
     const auto self = links_.at(&link);
+    // Timers go before sockets: on a machine that stood still the rest may be here.
+    const Nanos heardAt = link.heardAt;
+    if (link.connection->readMore()) onData(link);
+    if (links_.count(self.get()) == 0 || link.heardAt != heardAt) return;
     link.spoilt = true;
     link.culprit = partOf(link.connection->input());
     link.connection->end(net::ConnectionEnd::badPeer);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -494,7 +494,8 @@
       const bool out = benched(*r) && (mayCopy(cls) || !onTrial(*r));
       auto& slot = best[part.at(*r, false) || out ? 2 : aside ? 1 : 0];
       const double delay = expected(*r, part.shard, cls);
-      if (delay < slot.delay || (delay == slot.delay && r->tieBreak < slot.server->tieBreak))
+      const bool tie = delay == slot.delay && slot.server;
+      if (!slot.server || delay < slot.delay || (tie && r->tieBreak < slot.server->tieBreak))
         slot = {r, delay};
     }
     if (best[0].server && best[0].delay <= kAsideRatio * best[1].delay) return best[0];
@@ -786,7 +787,8 @@
     auto& m = r.memory[idx(part.shard)];
     const double least = std::max(m.delay, 2 * std::max(shardMean(part.shard), median));
     std::tie(m.delay, m.at, m.ownThen) = std::tuple(std::min(least, num(shortestAim)), now, parts(r));
-    r.slowness = {0.7 * faded(r.slowness, 1) + 0.3 * num(shortestAim) / std::max(median, work()), now};
+    const double usual = std::max({median, work(), 1.0});  // answers may have taken no time at all
+    r.slowness = {0.7 * faded(r.slowness, 1) + 0.3 * num(shortestAim) / usual, now};
   }
 
   // A server that has answered nothing for long is sick for all its shards: hung, silent, stalled or very
