What an outcome says of having run stands in one place; the pool keeps unsent parts once

Need: a reading of the whole change. Which outcomes mean "may have run" stood in the module and in the broker; the pool kept a queue with stale entries beside a scan for what had not left; "does it still lead there" was written twice. Change, no behaviour: mayHaveRun(Outcome) beside the enum, used by both; Link::waiting is exactly what has not left (erased where an attempt is released), so its scan and the guards go; NodePool::replaced and serves; Server::endGently and hurry in place of five pairs and an enum; Discovery::heard in place of its copy; an accessor of a public constant goes.

--- a/include/topazweir/aggregator.hpp
+++ b/include/topazweir/aggregator.hpp
@@ -141,6 +141,10 @@
   notSent         // did not run
 };
 
+constexpr bool mayHaveRun(Outcome outcome) {
+  return outcome != Outcome::rejected && outcome != Outcome::connectFailed && outcome != Outcome::notSent;
+}
+
 struct AttemptEnded {
   RequestId part;
   int attempt = 0;  // counted from 0 in the order of Send
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -161,13 +161,16 @@
     auto* open = open_.find(*no);
     const bool early = now < open->clientDue();
     const auto effect = terms_.settings.classes[static_cast<std::size_t>(open->request.queryClass)].effect;
-    const bool harmless = effect == Effect::safe || !open->mayHaveRun();
+    const bool refused = early && !open->streaming && (effect == Effect::safe || !open->mayHaveRun());
     if (!open->streaming)
       log_.line(early ? "request.cut_at_end" : "request.overdue",
                 "request=" + std::to_string(*no) + " id=" + open->request.id);
     send_.cancelAll(*no, *open);
-    early&& harmless && !open->streaming ? book_.refuse(*no, terms_.settings.maxRetryAfter)
-                                         : book_.fail(*no, !early);
+    if (refused) {
+      book_.refuse(*no, terms_.settings.maxRetryAfter);
+    } else {
+      book_.fail(*no, !early);
+    }
     route_.add(QueryExpired{Route::queryId(*no)});
   }
   turn();
--- a/src/broker/open.hpp
+++ b/src/broker/open.hpp
@@ -18,9 +18,7 @@
   Nanos sentAt = 0;
   std::optional<Outcome> end{};  // how it ended
   bool out() const { return !end; }
-  bool mayHaveRun() const {
-    return !end || (*end != Outcome::rejected && *end != Outcome::connectFailed && *end != Outcome::notSent);
-  }
+  bool mayHaveRun() const { return !end || topazweir::mayHaveRun(*end); }
 };
 
 // Its answer has begun: the request belongs to this attempt, and only its end or the client's time ends it.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -158,9 +158,8 @@
   auto head = writeHead(response, true);
   const auto connection = client.connection;
   connection->write(std::move(head), std::move(response.body));
-  connection->closeGently();
+  endGently(*connection);
   connection->input() = {};  // it may be much, and it lingers
-  drop(*connection);
 }
 
 void Server::respond(ExchangeNo exchange, const Response& response) {
@@ -178,10 +177,7 @@
   client.exchange = 0;
   client.since = loop_.now();
   client.begun = !connection->input().empty();
-  if (close) {
-    connection->closeGently();
-    return drop(*connection);
-  }
+  if (close) return endGently(*connection);
   connection->resume();
   if (connection->input().empty()) return;
   // What the client has sent ahead is served from the loop: this may be called from within serve().
@@ -193,6 +189,11 @@
   });
 }
 
+void Server::endGently(net::Connection& connection) {
+  connection.closeGently();
+  drop(connection);
+}
+
 void Server::drop(net::Connection& connection) {
   const auto at = clients_.find(&connection);
   if (at == clients_.end()) return;
@@ -229,9 +230,7 @@
   }
   for (const auto& connection : left) connection->end(net::ConnectionEnd::peerClosed);
   for (const auto& connection : slow) {
-    if (hurry(connection) != Hurried::nothing || clients_.at(connection.get()).asked) continue;
-    connection->closeGently();
-    drop(*connection);
+    if (!hurry(*connection) && !clients_.at(connection.get()).asked) endGently(*connection);
   }
   const auto roomy = static_cast<std::size_t>(kRoomy * static_cast<double>(options_.mostConnections));
   while (open_ && clients_.size() > roomy && closeIdle(options_.idleTime, false)) {
@@ -263,14 +262,14 @@
 }
 
 // Its time is up: a request that has come in whole by now is served, one that has not is turned down.
-Server::Hurried Server::hurry(const std::shared_ptr<net::Connection>& connection) {
-  connection->readMore();
-  if (!connection->input().empty()) onData(*connection);
-  const auto at = clients_.find(connection.get());
-  if (at == clients_.end() || at->second.exchange != 0) return Hurried::served;
-  if (connection->input().empty()) return Hurried::nothing;
+bool Server::hurry(net::Connection& connection) {
+  connection.readMore();
+  if (!connection.input().empty()) onData(connection);
+  const auto at = clients_.find(&connection);
+  if (at == clients_.end() || at->second.exchange != 0) return true;
+  if (connection.input().empty()) return false;
   reject(at->second, Fault{408, "the request did not come in"});
-  return Hurried::turnedDown;
+  return true;
 }
 
 void Server::endUnfinished() {
@@ -278,9 +277,7 @@
   for (auto& [key, client] : clients_)
     if (client.exchange == 0) unasked.push_back(client.connection);
   for (const auto& connection : unasked) {
-    if (hurry(connection) != Hurried::nothing) continue;
-    connection->closeGently();
-    drop(*connection);
+    if (!hurry(*connection)) endGently(*connection);
   }
 }
 
@@ -296,10 +293,9 @@
     if (clients_.find(connection.get()) == clients_.end()) continue;
     if (!connection->input().empty()) {
       onData(*connection);
-      continue;
+    } else {
+      endGently(*connection);
     }
-    connection->closeGently();
-    drop(*connection);
   }
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -81,8 +81,9 @@
   void serve(Client& client);
   void reject(Client& client, const Fault& fault);
   void drop(net::Connection& connection);
-  enum class Hurried { nothing, served, turnedDown };
-  Hurried hurry(const std::shared_ptr<net::Connection>& connection);
+  // False: nothing has come in on it; else what has is served or turned down.
+  bool hurry(net::Connection& connection);
+  void endGently(net::Connection& connection);
   void sweep();
   bool makeRoom();
   bool closeIdle(Nanos longerThan, bool unasked);
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -68,7 +68,7 @@
 void Discovery::connect() {
   parser_ = http::Parser(http::Side::response, kLimits);
   lists_ = ListCutter(kMostList);
-  connection_ = net::Connection::connect(loop_, address_, pace_.connectTime(), *this);
+  connection_ = net::Connection::connect(loop_, address_, RetryPace::kConnectTime, *this);
 }
 
 void Discovery::retry(std::string_view why, bool refused) {
@@ -121,9 +121,8 @@
       retry("bad list: " + why);
       return false;
     }
-    pace_.heard(loop_.now());
+    heard();
     pace_.succeeded();
-    watchSilence(RetryPace::kSilence);
     list->stale = list->generation < generation_;
     generation_ = list->generation;
     told_(*list);
--- a/src/platform/node_pool.cpp
+++ b/src/platform/node_pool.cpp
@@ -35,7 +35,7 @@
   Nanos startedAt;  // of the process behind it
   std::shared_ptr<net::Connection> connection;
   std::map<std::string, broker::AttemptId, std::less<>> outs;  // by the part's id
-  std::deque<broker::AttemptId> waiting;                       // in order; not all of them may be out still
+  std::deque<broker::AttemptId> waiting;                       // of these, what has not left, in order
   std::deque<std::string> over;                                // ids of parts that were out before
   Nanos lastUsed = 0, heardAt = 0;
   Nanos answeredSentAt = 0;         // when the youngest part that it has answered was sent
@@ -158,28 +158,20 @@
 // As long as the connection takes them at once; what stands behind is written when it has.
 void NodePool::writeWaiting(Link& link) {
   while (!link.waiting.empty() && link.connection->flushed()) {
-    const auto at = outs_.find(link.waiting.front());
+    const auto id = link.waiting.front();
     link.waiting.pop_front();
-    if (at == outs_.end() || at->second.link.get() != &link || at->second.frameEnd > 0) continue;
-    if (const Nanos by = at->second.order.writeBy; by == 0 || loop_.now() <= by) {
-      write(at->second);
+    Out& out = outs_.at(id);
+    if (const Nanos by = out.order.writeBy; by == 0 || loop_.now() <= by) {
+      write(out);
       continue;
     }
-    const std::weak_ptr<Link> weak =
-        at->second.link;  // from the loop: this may be called from within start()
-    loop_.soon([this, weak, id = at->first] {
+    const std::weak_ptr<Link> weak = out.link;  // from the loop: this may be called from within start()
+    loop_.soon([this, weak, id] {
       if (!weak.expired()) finish(id, Outcome::notSent, {});
     });
   }
 }
 
-std::vector<broker::AttemptId> NodePool::unsent(const Link& link) const {
-  std::vector<broker::AttemptId> out;
-  for (const auto& [partId, id] : link.outs)
-    if (outs_.at(id).frameEnd == 0) out.push_back(id);
-  return out;
-}
-
 void NodePool::write(Out& out) {
   auto& connection = *out.link->connection;
   const Nanos left = std::max<Nanos>(0, out.timer.first - loop_.now());
@@ -193,7 +185,11 @@
   loop_.cancel(out.timer);
   Link& link = *out.link;
   link.outs.erase(out.order.partId);
-  if (out.frameEnd > 0) link.over.push_back(out.order.partId);
+  if (out.frameEnd == 0) {
+    std::erase(link.waiting, out.order.id);
+  } else {
+    link.over.push_back(out.order.partId);
+  }
   if (link.over.size() > kOverKept) link.over.pop_front();
   link.lastUsed = loop_.now();
 }
@@ -355,21 +351,26 @@
   for (const auto& [id, outcome] : ended) finish(id, outcome, {});
 }
 
-bool NodePool::useless(const Link& link) const {
+// A process that has started since knows nothing of this connection, even where no reset came through.
+bool NodePool::replaced(const Link& link) const {
+  const auto* node = directory_.find(link.server);
+  return node && node->entry.startedAt > link.startedAt;
+}
+
+bool NodePool::serves(const Link& link) const {
   const auto* node = directory_.find(link.server);
-  const bool left = !node || node->entry.state != ServerState::up;
-  // A process that has started since knows nothing of this connection, even where no reset came through.
-  return (left && link.outs.empty()) || (node && node->entry.startedAt > link.startedAt);
+  return node && node->entry.state == ServerState::up && !replaced(link);
+}
+
+bool NodePool::useless(const Link& link) const {
+  return replaced(link) || (link.outs.empty() && !serves(link));
 }
 
 void NodePool::listChanged() {
   // Called back first: what they answer may go elsewhere, and their connections have less to wait for.
   std::vector<broker::AttemptId> back;
   for (const auto& [key, link] : links_) {
-    const auto* node = directory_.find(link->server);
-    if (node && node->entry.state == ServerState::up && node->entry.startedAt <= link->startedAt) continue;
-    const auto these = unsent(*link);
-    back.insert(back.end(), these.begin(), these.end());
+    if (!serves(*link)) back.insert(back.end(), link->waiting.begin(), link->waiting.end());
   }
   for (const auto& id : back) finish(id, Outcome::notSent, {});
   std::vector<std::shared_ptr<Link>> stale;
--- a/src/platform/node_pool.hpp
+++ b/src/platform/node_pool.hpp
@@ -57,11 +57,12 @@
   Link* linkFor(const Directory::Node& node, std::string_view partId);
   Link* open(const Directory::Node& node);
   bool makeRoom();
+  bool replaced(const Link& link) const;
+  bool serves(const Link& link) const;
   bool useless(const Link& link) const;
   bool closedMeanwhile(Link& link);
   void write(Out& out);
   void writeWaiting(Link& link);
-  std::vector<broker::AttemptId> unsent(const Link& link) const;
   void finish(const broker::AttemptId& id, Outcome outcome, std::string value);
   void release(const Out& out);
   void giveUp(const broker::AttemptId& id);
--- a/src/platform/retry_pace.hpp
+++ b/src/platform/retry_pace.hpp
@@ -31,7 +31,6 @@
   void heard(Nanos now);            // the last word of a watch
   void moved(Nanos now);            // discovery is elsewhere, by a new configuration
   void succeeded() { failures_ = 0; }
-  Nanos connectTime() const { return kConnectTime; }
 
   static constexpr Nanos kSilence = 2'500'000'000;  // a sound watch says something every 2 s
   static constexpr Nanos kCounted = 6'000'000'000, kCountedAfterMove = 4'000'000'000;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -721,7 +721,7 @@
       return delivered(part, a, num(std::max<Nanos>(e.delay, 0)));
     }
     const bool full = e.outcome == Outcome::rejected, none = e.outcome == Outcome::connectFailed;
-    if (full || none || e.outcome == Outcome::notSent) a.mayHaveRun = false;
+    if (!mayHaveRun(e.outcome)) a.mayHaveRun = false;
     if (full || e.outcome == Outcome::error) r.waitsSince = now, r.waited = 0;
     if (e.outcome == Outcome::notSent || e.outcome == Outcome::cancelled) return;
     a.rejected = full;
--- a/tests/retry_pace_test.cpp
+++ b/tests/retry_pace_test.cpp
@@ -101,10 +101,10 @@
     silence > 0 ? pace.heard(now) : pace.moved(now);
     now += silence;
     if (silence > 0) now += pace.next(now);
-    now += pace.connectTime();
+    now += platform::RetryPace::kConnectTime;
     now += pace.patience(now);  // not a word
     now += pace.next(now);
-    now += pace.connectTime();
+    now += platform::RetryPace::kConnectTime;
     longest = std::max(longest, now - start);
   }
   return longest;
