Skeleton of the scale work: places and interface, nothing in use

Need: separate owners work on the scale program, the dissemination of changes and the tests of the five terms at the same time. Measured: nothing yet.

--- /dev/null
+++ b/tests/standing_terms_test.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
