Members that are no voters get the register by dissemination; asking is the fallback

Wiring against the module's interface: Kind dissemination, the voter's applied commands, the generation in the register, keys relays, fanOut and changeBytesPerS, lines, counters, members' head and SNMP scalars.

--- a/src/agreement/voter.cpp
+++ b/src/agreement/voter.cpp
@@ -179,8 +179,9 @@
 
   static int apply(raft_fsm* f, const raft_buffer* buffer, void** result) {
     auto& self = of(f);
-    const auto command = readCommand({static_cast<const char*>(buffer->base), buffer->len});
+    auto command = readCommand({static_cast<const char*>(buffer->base), buffer->len});
     self.lastResult = command ? self.held.apply(*command) : Result{};
+    if (command) self.step.applied.push_back(std::move(*command));
     *result = &self.lastResult;
     return 0;
   }
@@ -194,6 +195,7 @@
     auto read = Register::read({static_cast<const char*>(buffer->base), buffer->len});
     if (!read) return RAFT_MALFORMED;
     of(f).held = std::move(*read);
+    of(f).step.applied.clear();
     raft_free(buffer->base);
     return 0;
   }
--- a/src/agreement/voter.hpp
+++ b/src/agreement/voter.hpp
@@ -41,6 +41,9 @@
   struct Step {
     std::vector<Out> out;
     std::vector<Outcome> outcomes;
+    // Applied to the register, in order, those without effect included; none from before a snapshot that was
+    // put in its place whole. What can't be read as a command changes nothing and isn't counted.
+    std::vector<Command> applied;
   };
 
   // `store`: empty, or what this voter has kept; must outlive it. Throws std::runtime_error where the store
--- a/src/cli/members.cpp
+++ b/src/cli/members.cpp
@@ -20,6 +20,7 @@
 
 const Poco::Timespan kAnswerTime(2, 0);
 constexpr std::size_t kMostAnswer = 4 * 1024 * 1024;
+constexpr std::string_view kBehind = "behind=";
 constexpr auto kWatchEvery = std::chrono::seconds(1);
 
 // What the aggregator answers to one line; throws Poco::Exception.
@@ -46,13 +47,42 @@
   return {};
 }
 
+// "GENERATION/NUMBER" as it is shown beside `own`: the number alone where the generation is the same.
+std::string shown(const std::string& position, const std::string& own) {
+  const auto slash = position.find('/');
+  if (slash == std::string::npos || position.substr(0, slash) != own.substr(0, own.find('/')))
+    return position;
+  return position.substr(slash + 1);
+}
+
+// One line, by the leader: the counts of all come up to it.
+std::string inForce(const std::vector<View>& views) {
+  std::string leader;
+  for (const auto& v : views) {
+    if (!v.leader.empty() && v.leader != "-") leader = v.leader;
+    if (v.low.empty() || v.leader != v.self) continue;
+    const auto number = shown(v.position, v.position);
+    const auto counted = fmt::format("{} counted ({} known alive)", v.counted, v.alive);
+    if (v.level == v.counted) return fmt::format("# in force: {} at all of {}\n", number, counted);
+    auto out = fmt::format("# in force: {} at {} of {}, {} at all", number, v.level, counted,
+                           shown(v.low, v.position));
+    for (std::size_t i = 0; i < v.behind.size(); ++i)
+      out += fmt::format("{}{} at {}", i == 0 ? "; behind: " : ", ", v.behind[i].first,
+                         shown(v.behind[i].second, v.position));
+    return out + '\n';
+  }
+  return leader.empty() ? std::string() : fmt::format("# in force: ask the leader, {}\n", leader);
+}
+
 std::vector<View> ask(const Options& options) {
   std::vector<View> views;
   for (const auto& address : options.ops) {
     try {
       views.push_back(readView(address, call(address, "members")));
     } catch (const Poco::Exception& error) {
-      views.push_back({address, error.displayText(), {}, {}, {}});
+      View none;
+      none.asked = address, none.fault = error.displayText();
+      views.push_back(std::move(none));
     }
   }
   return views;
@@ -76,6 +106,15 @@
     return view;
   }
   view.self = valueOf(line, "self"), view.standing = valueOf(line, "standing");
+  view.leader = valueOf(line, "leader"), view.alive = valueOf(line, "alive");
+  view.position = valueOf(line, "position"), view.low = valueOf(line, "in_force");
+  view.counted = valueOf(line, "members"), view.level = valueOf(line, "level");
+  std::istringstream head(line);
+  for (std::string word; head >> word;) {  // behind=GENERATION/NUMBER:NAME, once each
+    const auto colon = word.find(':');
+    if (word.starts_with(kBehind) && colon != std::string::npos)
+      view.behind.emplace_back(word.substr(colon + 1), word.substr(kBehind.size(), colon - kBehind.size()));
+  }
   while (std::getline(lines, line)) {
     std::istringstream words(line);
     View::Row r;
@@ -100,6 +139,7 @@
       rows[i] = &row;
     }
   }
+  out += inForce(views);
   constexpr const char* kForm = "{} {:<20} {:<8} {:<9} {:>7} {:>5} {:<8} {:<8} {:<21} {:>6} {:>8}  {}\n";
   out += fmt::format(kForm, " ", "name", "state", "duty", "since s", "inc.", "zone", "version", "address",
                      "open", "refused", "says");
--- a/src/cli/members.hpp
+++ b/src/cli/members.hpp
@@ -3,6 +3,7 @@
 
 #include <iosfwd>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cli/options.hpp"
@@ -18,6 +19,10 @@
   std::string fault;           // why there is no answer; empty: there is
   std::string self, standing;  // of the one that was asked
   std::vector<Row> rows;
+  // How far the register is in force, as a voter has it by the counts of all; empty: it has not said so, such
+  // as one from before them.
+  std::string leader, alive, position, low, counted, level;  // position, low: GENERATION/NUMBER
+  std::vector<std::pair<std::string, std::string>> behind;   // the slowest: name, GENERATION/NUMBER
 };
 
 View readView(const std::string& asked, const std::string& answer);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -69,7 +69,14 @@
                               c.votersDiffer,
                               side.council() ? side.council()->held().commands() : 0,
                               side.council() && side.council()->leads(),
+                              {},
                               {}};
+  if (const auto age = side.registerAge(); age >= 0) out.held.ageMs = static_cast<std::uint64_t>(age / kMs);
+  out.held.position = side.position().number;
+  if (const auto* disseminator = side.disseminator()) {
+    const auto all = disseminator->inForce();
+    out.held.low = all.low.number, out.held.counted = all.members, out.held.level = all.level;
+  }
   for (const auto& [name, m] : detector.view())
     out.members.push_back({name, m.record.address, m.record.zone, m.record.version,
                            static_cast<int>(m.record.state) + 1,
--- a/src/config/membership_config.cpp
+++ b/src/config/membership_config.cpp
@@ -9,13 +9,19 @@
 
 constexpr std::size_t kMostText = 64;  // bytes, on the wire (src/membership/record.hpp)
 constexpr std::int64_t kMostVoters = 7;
+constexpr std::size_t kMostRelays = 256;
+constexpr std::int64_t kMostChangeBytes = 16 * 1024 * 1024;
 
-std::string word(const Reader& reader, std::string_view key, std::optional<std::string_view> absent = {}) {
-  auto out = reader.text(key, absent);
+void checkWord(const Reader& reader, std::string_view key, const std::string& text) {
   const bool blank =
-      std::any_of(out.begin(), out.end(), [](unsigned char c) { return c <= ' ' || c == 127; });
-  if (out.size() > kMostText) reader.fail(key, "longer than 64 bytes");
+      std::any_of(text.begin(), text.end(), [](unsigned char c) { return c <= ' ' || c == 127; });
+  if (text.size() > kMostText) reader.fail(key, "longer than 64 bytes");
   if (blank) reader.fail(key, "holds a blank or an unprintable character");
+}
+
+std::string word(const Reader& reader, std::string_view key, std::optional<std::string_view> absent = {}) {
+  auto out = reader.text(key, absent);
+  checkWord(reader, key, out);
   return out;
 }
 
@@ -44,6 +50,23 @@
     reader.fail("voter", "an address stands twice");
 }
 
+// How the register reaches all members: the same in all of their files, for they see the same tree by it.
+void readDissemination(const Reader& reader, Membership& out) {
+  out.relays = reader.texts("relays");
+  for (const auto& relay : out.relays) {
+    checkWord(reader, "relays", relay);
+    if (relay.empty()) reader.fail("relays", "an empty name");
+    if (std::any_of(out.voters.begin(), out.voters.end(), [&](const Voter& v) { return v.name == relay; }))
+      reader.fail("relays", "a voter hands the register on in any case: " + relay);
+  }
+  if (out.relays.size() > kMostRelays) reader.fail("relays", "more than 256 relays");
+  if (repeats(out.relays, [](const std::string& r) { return r; }))
+    reader.fail("relays", "a name stands twice");
+  out.fanOut = static_cast<std::size_t>(reader.integer("fanOut", 2, 64, 8));
+  out.changeBytesPerS =
+      static_cast<std::size_t>(reader.integer("changeBytesPerS", 512, kMostChangeBytes, 2048));
+}
+
 }  // namespace
 
 std::vector<std::string> Membership::voterNames() const {
@@ -55,7 +78,7 @@
 bool Membership::operator==(const Membership& o) const {
   const auto all = [](const Membership& m) {
     return std::tie(m.name, m.fleet, m.listen, m.advertise, m.zone, m.seeds, m.state, m.period, m.answerTime,
-                    m.syncEvery, m.forgetAfter);
+                    m.syncEvery, m.forgetAfter, m.relays, m.fanOut, m.changeBytesPerS);
   };
   const auto same = [](const Voter& a, const Voter& b) { return a.name == b.name && a.address == b.address; };
   return all(*this) == all(o) &&
@@ -93,6 +116,7 @@
   out.answerTime = reader.millis("answerMs", 10, period / 2, period * 2 / 5);
   out.syncEvery = reader.millis("syncMs", period, 60 * kMinute, 30 * period);
   out.forgetAfter = reader.millis("forgetMs", 10 * period, 24 * 60 * kMinute, 600 * period);
+  readDissemination(reader, out);
   return out;
 }
 
--- a/src/fleet/council.cpp
+++ b/src/fleet/council.cpp
@@ -4,11 +4,15 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <iterator>
+
+#include "dissemination/disseminator.hpp"
 
 namespace topazweir::fleet {
 
 namespace {
 
+constexpr Nanos kMs = 1'000'000;
 constexpr int kElectionPeriods = 2;  // without word of a leader; drawn up to twice that
 constexpr int kHeartbeatsAPeriod = 2;
 constexpr std::size_t kMark = 8;  // bytes before each message
@@ -58,18 +62,28 @@
 
 std::vector<Council::Out> Council::carry(agreement::Voter::Step step) {
   if (!step.outcomes.empty()) claiming_ = false;
+  std::move(step.applied.begin(), step.applied.end(), std::back_inserter(applied_));
   std::vector<Out> out;
   for (auto& message : step.out) out.push_back({names_[message.to - 1], mark_ + message.bytes});
   return out;
 }
 
-// A leader that finds another one's name there takes the role over, and says so under a higher fence.
+// The generation first, so that what follows has its place in it. A leader that finds another one's name in
+// the role takes it over, and says so under a higher fence.
+std::optional<agreement::Command> Council::due(Nanos now) const {
+  if (!held().find(dissemination::kGenerationKey))
+    return agreement::Command{dissemination::kGenerationKey, std::to_string(now / kMs), 0};
+  const auto* role = held().find(kCoordinator);
+  if (role && role->value == self_) return std::nullopt;
+  return agreement::Command{kCoordinator, self_, role ? role->fence : 0};
+}
+
 void Council::claim(Nanos now, std::vector<Out>& out) {
   if (!voter_->leads()) claiming_ = false;
   if (claiming_ || !voter_->leads()) return;
-  const auto* role = held().find(kCoordinator);
-  if (role && role->value == self_) return;
-  auto step = voter_->propose({kCoordinator, self_, role ? role->fence : 0}, ++claims_, now);
+  const auto command = due(now);
+  if (!command) return;
+  auto step = voter_->propose(*command, ++claims_, now);
   if (!step) return;
   claiming_ = true;
   for (auto& message : carry(std::move(*step))) out.push_back(std::move(message));
--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -4,17 +4,29 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
+#include <random>
+#include <utility>
 
 namespace topazweir::fleet {
 
 namespace {
 
 constexpr std::size_t kMostDatagram = 1300;  // bytes; passes every usual link whole
+constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kOpenAgain = 100'000'000;
 constexpr Nanos kTicksAPeriod = 10;
-// Between two looks at a voter's register, by a connection each: 300 members make 20 a second at each of
-// three voters.
+// Between two looks at a voter's register, by a connection each, while the dissemination does not reach this
+// member: 300 members make 20 a second at each of three voters.
 constexpr Nanos kFollowPeriods = 5;
+// Without word that a voter vouched for the register it is stale here, and asked for.
+constexpr Nanos kStalePeriods = 10;
+constexpr Nanos kLedPeriods = agreement::Follower::kFresh * kFollowPeriods;
+// Of the dissemination's times, by the period; with the usual one of 1 s, those of its Settings.
+constexpr Nanos kBeatsAPeriod = 4, kSilentFifths = 4, kFreshPeriods = 2;
+// Behind the version, as semantic versioning's build metadata: this member reads the dissemination's
+// messages. Members without it are left out of the tree; they would count these as broken.
+constexpr std::string_view kDisseminates = "+d1";
 constexpr int kSettleSyncs = 2;  // full exchanges after which views agree
 
 membership::Settings settingsOf(const config::Membership& config, std::uint64_t seed) {
@@ -27,10 +39,55 @@
   return out;
 }
 
+dissemination::Settings disseminationOf(const config::Membership& config, std::uint64_t seed) {
+  dissemination::Settings out;
+  out.self = config.name, out.zone = config.zone;
+  out.votes = config.votes();
+  out.voters = config.voterNames(), out.relays = config.relays;
+  out.fanOut = config.fanOut;
+  out.beatEvery = config.period / kBeatsAPeriod;
+  out.silentAfter = kSilentFifths * config.period / 5;
+  out.staleAfter = kFreshPeriods * config.period;
+  out.bytesPerSecond = static_cast<double>(config.changeBytesPerS);
+  constexpr std::size_t kPayloadHead = 2;  // bytes more with a longer payload
+  out.frameBytes =
+      encode({.kind = membership::Kind::dissemination, .sender = config.name}, config.fleet).size() +
+      kPayloadHead;
+  out.seed = seed;
+  return out;
+}
+
+bool disseminates(const membership::Record& record) {
+  return std::string_view(record.version).ends_with(kDisseminates);
+}
+
+// Drawn, so that many that lose their way at once don't all ask the voters at once.
+Nanos waitToFollow(const config::Membership& config, std::uint64_t seed) {
+  const Nanos every = kFollowPeriods * config.period;
+  std::mt19937_64 random(seed);
+  return std::uniform_int_distribution<Nanos>(every / 2, every)(random);
+}
+
+dissemination::Position positionOf(const agreement::Register& held) {
+  dissemination::Position out{0, held.commands()};
+  if (const auto* generation = held.find(dissemination::kGenerationKey)) {
+    const auto& digits = generation->value;
+    std::from_chars(digits.data(), digits.data() + digits.size(), out.generation);
+  }
+  return out;
+}
+
+std::string show(const dissemination::Position& position) {
+  return fmt::format("{}/{}", position.generation, position.number);
+}
+
+std::string orDash(const std::string& word) { return word.empty() ? "-" : word; }
+
 const char* nameOf(membership::State state) { return membership::kStateNames[static_cast<int>(state)]; }
 const char* nameOf(membership::Duty duty) { return membership::kDutyNames[static_cast<int>(duty)]; }
 
 double seconds(Nanos time) { return static_cast<double>(time) / 1e9; }
+std::string ageText(Nanos age) { return age < 0 ? "-" : fmt::format("{:.1f}", seconds(age)); }
 
 }  // namespace
 
@@ -41,11 +98,15 @@
       config_(config),
       host_(host),
       detector_(settingsOf(config, seed),
-                membership::Record{config.name, config.advertise, config.zone, version}),
+                membership::Record{config.name, config.advertise, config.zone,
+                                   config.voters.empty() ? version : version + std::string(kDisseminates)}),
       sharers_(kSettleSyncs * config.syncEvery, usual.count),
       share_(usual),
       seed_(seed) {
-  if (!config_.votes()) follower_.emplace(config_.voterNames(), kFollowPeriods * config_.period);
+  if (!config_.voters.empty())
+    disseminator_ = std::make_unique<dissemination::Disseminator>(disseminationOf(config, seed));
+  if (!config_.votes())
+    follower_.emplace(config_.voterNames(), kFollowPeriods * config_.period, waitToFollow(config, seed));
 }
 
 Side::~Side() { stop(); }
@@ -102,6 +163,8 @@
   if (council_ && council_->cutOff() > 0)
     log_.line("membership.state_cut", fmt::format("{} bytes had not come in whole", council_->cutOff()));
   carryOut(detector_.join(config_.seeds, loop_.now()));
+  viewChanged_ = true;
+  if (follower_) follower_->rest(loop_.now());
   tick();
 }
 
@@ -110,14 +173,15 @@
   detector_.busy(meter_.now(host_.load(), loop_.now()));
   carryOut(detector_.tick(loop_.now()));
   if (council_) tell(council_->tick(loop_.now()));
+  disseminate();
   if (follower_) follow();
   lookAtRegister();
+  lookAtTree();
   lookAround();
 }
 
 void Side::lookAround() {
-  const bool led = council_ ? !council_->leader().empty() : !follower_ || follower_->led(loop_.now());
-  const auto standing = membership::standing(detector_, config_.voterNames(), led);
+  const auto standing = membership::standing(detector_, config_.voterNames(), led());
   if (standing != standing_)
     log_.line("membership.standing",
               fmt::format("{} was {} alive={}", membership::kStandingNames[static_cast<int>(standing)],
@@ -164,6 +228,7 @@
   const auto message = read(bytes);
   // Of what is asked for by stream, the answer is many times the question: never to an unproven address.
   if (message && message->kind == membership::Kind::agreement) return onAgreement(*message);
+  if (message && message->kind == membership::Kind::dissemination) return onDissemination(*message);
   if (message && !membership::byStream(message->kind)) carryOut(detector_.received(*message, loop_.now()));
 }
 
@@ -175,6 +240,9 @@
     case membership::Kind::agreement:
       onAgreement(*message);
       return reply;
+    case membership::Kind::dissemination:
+      onDissemination(*message);
+      return reply;
     case membership::Kind::follow:
       return answerTo(*message);
     case membership::Kind::followReply:
@@ -189,6 +257,7 @@
 
 // `reply`: takes what answers a message that came by stream; it goes back on the same connection.
 void Side::carryOut(membership::Step step, std::string* reply) {
+  viewChanged_ = viewChanged_ || !step.changes.empty();
   for (const auto& change : step.changes) {
     const auto& r = change.record;
     log_.line(
@@ -224,9 +293,52 @@
   std::vector<Council::Out> out;
   if (!council_->received(message.sender, message.payload, loop_.now(), out)) ++counters_.votersDiffer;
   tell(out);
+  handOn();
   lookAtRegister();
 }
 
+// What this voter has applied goes on at once.
+void Side::handOn() {
+  if (!council_ || !disseminator_ || council_->held().commands() == disseminator_->position().number) return;
+  tell(disseminator_->agreed(council_->held(), council_->takeApplied(), council_->leader(), loop_.now()));
+}
+
+void Side::disseminate() {
+  if (!disseminator_) return;
+  const auto now = loop_.now();
+  if (std::exchange(viewChanged_, false)) showView();
+  if (council_)
+    tell(disseminator_->agreed(council_->held(), council_->takeApplied(), council_->leader(), now));
+  tell(disseminator_->tick(now));
+}
+
+void Side::showView() {
+  std::vector<dissemination::Peer> view;
+  for (const auto& [name, m] : detector_.view())
+    if (disseminates(m.record))
+      view.push_back({name, m.record.zone, m.record.state <= membership::State::suspect});
+  disseminator_->sees(std::move(view));
+}
+
+void Side::onDissemination(const membership::Message& message) {
+  if (!disseminator_) return;
+  const auto voters = config_.voterNames();
+  const bool known = detector_.view().count(message.sender) > 0 ||
+                     std::find(voters.begin(), voters.end(), message.sender) != voters.end();
+  if (!known || message.sender == config_.name) return void(++counters_.changesForeign);
+  tell(disseminator_->received(message.sender, message.payload, loop_.now()));
+  lookAtRegister();
+  lookAtTree();
+}
+
+// As small as they can be: the receiver knows where the sender hears.
+void Side::tell(const std::vector<dissemination::Out>& messages) {
+  for (const auto& out : messages)
+    send({addressOf(out.to),
+          membership::Message{
+              .kind = membership::Kind::dissemination, .sender = config_.name, .payload = out.bytes}});
+}
+
 std::string Side::answerTo(const membership::Message& question) {
   if (!council_) return {};
   membership::Message answer{.kind = membership::Kind::followReply, .sender = config_.name};
@@ -236,11 +348,19 @@
   return encode(answer, config_.fleet);
 }
 
+// Asks as members did before there was a tree, and only while that does not reach this one.
 void Side::follow() {
-  const auto voter = follower_->tick(loop_.now());
+  const auto now = loop_.now();
+  if (disseminator_) {
+    const auto age = disseminator_->age(now);
+    if (age >= 0 && age <= kStalePeriods * config_.period) follower_->rest(now);
+    if (disseminator_->position() >= positionOf(follower_->held())) follower_->drop();
+  }
+  const auto voter = follower_->tick(now);
   if (!voter || *voter == config_.name) return;
   membership::Message question{.kind = membership::Kind::follow, .sender = config_.name};
-  question.from = config_.advertise, question.sequence = follower_->held().commands();
+  question.from = config_.advertise, question.sequence = held().commands();
+  ++counters_.registerAsked;
   send({addressOf(*voter), std::move(question)});
 }
 
@@ -253,7 +373,28 @@
   return {};
 }
 
-const agreement::Register& Side::held() const { return council_ ? council_->held() : follower_->held(); }
+// Where both ways have brought a register, the later one.
+const agreement::Register& Side::held() const {
+  if (council_) return council_->held();
+  const bool tree = disseminator_ && disseminator_->position() >= positionOf(follower_->held());
+  return tree ? disseminator_->held() : follower_->held();
+}
+
+dissemination::Position Side::position() const {
+  return keepsRegister() ? positionOf(held()) : dissemination::Position{};
+}
+
+Nanos Side::registerAge() const {
+  const auto now = loop_.now();
+  const Nanos told = disseminator_ ? disseminator_->age(now) : -1;
+  const Nanos asked = follower_ ? follower_->age(now) : -1;
+  return told < 0 || asked < 0 ? std::max(told, asked) : std::min(told, asked);
+}
+
+// Also where no voter has ever vouched for anything: they may keep no register.
+bool Side::led() const {
+  return council_ ? !council_->leader().empty() : registerAge() <= kLedPeriods * config_.period;
+}
 
 // Small messages by datagram: what is lost is said again. Entries and snapshots that don't fit go by stream.
 void Side::tell(const std::vector<Council::Out>& messages) {
@@ -265,7 +406,7 @@
 }
 
 void Side::lookAtRegister() {
-  if (!council_ && !follower_) return;
+  if (!keepsRegister()) return;
   if (council_ && worked_ && !council_->works()) {
     worked_ = false;
     log_.line("membership.state_failed",
@@ -278,9 +419,29 @@
   log_.line("membership.coordinator", coordinator_);
 }
 
+void Side::lookAtTree() {
+  if (!disseminator_) return;
+  if (const auto& parent = disseminator_->parent(); parent != parent_) {
+    log_.line("membership.parent", fmt::format("{} was {}", orDash(parent), orDash(parent_)));
+    parent_ = parent;
+  }
+  if (const auto diverged = disseminator_->counters().diverged; diverged > diverged_) {
+    log_.line("membership.diverged", fmt::format("count={} parent={}", diverged, orDash(parent_)));
+    diverged_ = diverged;
+  }
+  const auto age = registerAge();
+  const bool stale = age > kStalePeriods * config_.period;
+  if (stale == stale_) return;
+  stale_ = stale;
+  log_.line(stale ? "membership.stale" : "membership.fresh",
+            fmt::format("age={} position={}", ageText(age), show(position())));
+}
+
 std::string Side::registered() const {
-  if (!council_ && !follower_) return "NAK this member keeps no register yet\n";
-  std::string out = fmt::format("ACK commands={} {}\n", held().commands(), council_ ? "voter" : "follows");
+  if (!keepsRegister()) return "NAK this member keeps no register yet\n";
+  std::string out = fmt::format(
+      "ACK commands={} {}\n", held().commands(),
+      council_ ? "voter" : fmt::format("follows age={} parent={}", ageText(registerAge()), orDash(parent_)));
   for (const auto& [key, value] : held().all())
     out += fmt::format("{} fence={} {}\n", key, value.fence, value.value);
   return out;
@@ -299,22 +460,35 @@
 // is shown as "-".
 std::string Side::table() const {
   const auto now = loop_.now();
-  const auto text = [](const std::string& word) { return word.empty() ? "-" : word; };
   std::string out =
-      fmt::format("ACK self={} fleet={} standing={} alive={} known={} doubts={}{}\n", config_.name,
+      fmt::format("ACK self={} fleet={} standing={} alive={} known={} doubts={}{}{}\n", config_.name,
                   config_.fleet, membership::kStandingNames[static_cast<int>(standing_)], detector_.alive(),
                   detector_.view().size(), detector_.health(),
-                  council_ ? fmt::format(" leader={} term={} decided={}", text(council_->leader()),
+                  council_ ? fmt::format(" leader={} term={} decided={}", orDash(council_->leader()),
                                          council_->term(), council_->held().commands())
-                           : std::string());
+                           : std::string(),
+                  inForce());
   for (const auto& [name, m] : detector_.view())
     out += fmt::format("{} {} {} {:.0f} {} {} {} {} {} {}\n", name, nameOf(m.record.state),
                        nameOf(m.record.published.duty), seconds(now - m.since), m.record.incarnation,
-                       text(m.record.zone), text(m.record.version), text(m.record.address), m.load.open,
+                       orDash(m.record.zone), orDash(m.record.version), orDash(m.record.address), m.load.open,
                        m.load.refusedPermille);
   return out;
 }
 
+// Words of the head: where this one's register stands, and by a voter what all have that are counted below
+// it.
+std::string Side::inForce() const {
+  if (!disseminator_ || !keepsRegister()) return {};
+  std::string out =
+      fmt::format(" position={} age={} parent={}", show(position()), ageText(registerAge()), orDash(parent_));
+  if (!council_) return out;
+  const auto all = disseminator_->inForce();
+  out += fmt::format(" in_force={} members={} level={}", show(all.low), all.members, all.level);
+  for (const auto& slow : all.slowest) out += fmt::format(" behind={}:{}", show(slow.at), slow.name);
+  return out;
+}
+
 std::string Side::explain(const std::string& name) const {
   const auto at = detector_.view().find(name);
   if (at == detector_.view().end()) return "NAK no member has the name " + name + "\n";
@@ -340,6 +514,9 @@
 std::string Side::print() const {
   const auto line = [](const char* name, std::uint64_t value) { return fmt::format("{} {}\n", name, value); };
   const auto& c = counters_;
+  const auto changes = disseminator_ ? disseminator_->counters() : dissemination::Counters{};
+  const auto all = disseminator_ ? disseminator_->inForce() : dissemination::InForce{};
+  const auto age = registerAge();
   return line("members_alive", detector_.alive()) + line("members_known", detector_.view().size()) +
          line("membership_standing", static_cast<std::uint64_t>(standing_)) +
          line("membership_doubts", static_cast<std::uint64_t>(detector_.health())) +
@@ -350,7 +527,19 @@
          line("membership_leads", council_ && council_->leads()) +
          line("membership_decided", council_ ? council_->held().commands() : 0) +
          line("membership_unsent", c.unsent) +
-         line("membership_streams_broken", streams_ ? streams_->broken() : 0);
+         line("membership_streams_broken", streams_ ? streams_->broken() : 0) +
+         line("register_generation", position().generation) + line("register_position", position().number) +
+         fmt::format("register_age_ms {}\n", age < 0 ? -1 : age / kMs) +
+         line("register_members", all.members) + line("register_level", all.level) +
+         line("register_low", all.low.number) + line("register_asked", c.registerAsked) +
+         line("changes_applied", changes.changesApplied) + line("snapshots_taken", changes.snapshotsTaken) +
+         line("changes_sent", changes.sent) + line("changes_sent_bytes", changes.sentBytes) +
+         line("changes_received", changes.received) + line("changes_received_bytes", changes.receivedBytes) +
+         line("changes_deferred", changes.deferred) + line("changes_broken", changes.broken) +
+         line("changes_foreign", c.changesForeign) + line("changes_repeated", changes.repeated) +
+         line("changes_diverged", changes.diverged) + line("parents_left", changes.parentsLeft) +
+         line("children", disseminator_ ? disseminator_->children() : 0) +
+         line("children_turned_away", changes.turnedAway);
 }
 
 }  // namespace topazweir::fleet
--- a/src/fleet/side.hpp
+++ b/src/fleet/side.hpp
@@ -10,6 +10,7 @@
 #include "agreement/follower.hpp"
 #include "broker/log.hpp"
 #include "config/membership_config.hpp"
+#include "dissemination/disseminator.hpp"
 #include "fleet/council.hpp"
 #include "fleet/streams.hpp"
 #include "membership/load_meter.hpp"
@@ -31,7 +32,9 @@
 struct Counters {
   std::uint64_t sent = 0, received = 0, sentBytes = 0, receivedBytes = 0;  // datagrams
   std::uint64_t broken = 0, foreign = 0, otherVersion = 0, unsent = 0;
-  std::uint64_t votersDiffer = 0;  // messages between voters that are configured otherwise
+  std::uint64_t votersDiffer = 0;    // messages between voters that are configured otherwise
+  std::uint64_t registerAsked = 0;   // a voter, for the whole register
+  std::uint64_t changesForeign = 0;  // messages of the dissemination by who is no member known here
 };
 
 class Side {
@@ -57,6 +60,11 @@
   const membership::Detector& detector() const { return detector_; }
   membership::Standing standing() const { return standing_; }
   const Council* council() const { return council_ ? &*council_ : nullptr; }  // none: it is no voter
+  const dissemination::Disseminator* disseminator() const { return disseminator_.get(); }  // none: no voters
+  // Of the register as it is held here, and since when a voter that knew of a leader last vouched for that;
+  // negative: never.
+  dissemination::Position position() const;
+  Nanos registerAge() const;
   const Counters& counters() const { return counters_; }
   std::string print() const;  // counters, as "name value" lines
 
@@ -75,13 +83,22 @@
   void tell(const std::vector<Council::Out>& messages);
   std::string addressOf(const std::string& voter) const;
   std::string answerTo(const membership::Message& question);
+  void onDissemination(const membership::Message& message);
+  void disseminate();
+  void handOn();
+  void tell(const std::vector<dissemination::Out>& messages);
+  void showView();
   void follow();
+  bool led() const;
+  bool keepsRegister() const { return council_ || follower_; }
   const agreement::Register& held() const;
   void lookAtRegister();
+  void lookAtTree();
   void lookAround();
   std::string table() const;
   std::string explain(const std::string& name) const;
   std::string registered() const;
+  std::string inForce() const;
 
   net::Loop& loop_;
   broker::Log& log_;
@@ -95,10 +112,16 @@
   membership::Standing standing_ = membership::Standing::alone;
   std::optional<net::Datagrams> datagrams_;
   std::optional<Streams> streams_;
-  std::optional<agreement::Follower> follower_;  // where it is none
-  std::optional<Council> council_;               // where it is a voter
+  std::optional<Council> council_;  // where it is a voter
+  // Where voters are named. The register comes to the others by dissemination; by asking only while that does
+  // not reach them.
+  std::unique_ptr<dissemination::Disseminator> disseminator_;
+  std::optional<agreement::Follower> follower_;  // where it is no voter
+  bool viewChanged_ = false;                     // since it was shown to the dissemination
   std::string coordinator_;                      // as it was last shown, with its fence
-  bool worked_ = true;
+  std::string parent_;                           // likewise
+  std::uint64_t diverged_ = 0;                   // likewise
+  bool worked_ = true, stale_ = false;
   Counters counters_;
   net::Loop::TimerId timer_{};
 };
--- a/src/membership/detector.cpp
+++ b/src/membership/detector.cpp
@@ -81,8 +81,9 @@
 void Detector::hearOfItself(const Record& record, Step& step) {
   auto& own = members_.at(self_).record;
   const bool elsewhere = record.address != own.address;
-  const bool wrong =
-      elsewhere || record.state != own.state || record.published.revision > own.published.revision;
+  // An earlier process of another version: what others send to this one goes by its version.
+  const bool wrong = elsewhere || record.state != own.state || record.version != own.version ||
+                     record.published.revision > own.published.revision;
   if (record.incarnation < own.incarnation || (record.incarnation == own.incarnation && !wrong)) return;
   // What an earlier process of this name has said is refuted once; said again, somebody lives there.
   if (elsewhere && moved_ && record.state == State::alive) step.nameTakenBy = record.address;
@@ -341,6 +342,7 @@
     case Kind::agreement:  // not this part's
     case Kind::follow:
     case Kind::followReply:
+    case Kind::dissemination:
       break;
   }
   return step;
--- a/src/membership/record.hpp
+++ b/src/membership/record.hpp
@@ -67,11 +67,14 @@
   syncReply,  // all that I know
   agreement,  // between voters: what src/agreement says
   follow,     // of a voter: its register, if it holds more commands than `sequence`
-  followReply
+  followReply,
+  dissemination  // between members: what src/dissemination says; members from before it count it as broken
 };
-inline constexpr int kKinds = 9;
+inline constexpr int kKinds = 10;
 // These go by a stream: they don't fit in a datagram, and their answer is many times their question.
-inline bool byStream(Kind kind) { return kind != Kind::agreement && kind >= Kind::sync; }
+inline bool byStream(Kind kind) {
+  return kind == Kind::sync || kind == Kind::syncReply || kind == Kind::follow || kind == Kind::followReply;
+}
 
 struct Message {
   Kind kind = Kind::ping;
@@ -81,7 +84,7 @@
   std::uint64_t sequence = 0;  // of the question
   Load load{};                 // the sender's
   std::vector<Record> news{};  // bounded by Settings but for the two kinds of sync
-  std::string payload{};       // agreement; followReply: the register
+  std::string payload{};       // agreement, dissemination; followReply: the register
   std::size_t size = 0;        // bytes on the wire, where it was received; 0: not known
 };
 
--- a/src/snmp/snapshot.cpp
+++ b/src/snmp/snapshot.cpp
@@ -60,6 +60,11 @@
   for (const auto value : {f.sent, f.received, f.unread, f.votersDiffer, f.decided})
     writer.scalar(++number, Counter{value}, kMembership);
   writer.scalar(++number, gauge(f.leads ? 1.0 : 0.0), kMembership);
+  constexpr double kNever = 4294967295.0;
+  writer.scalar(++number, gauge(f.held.ageMs ? static_cast<double>(*f.held.ageMs) : kNever), kMembership);
+  for (const auto value : {f.held.position, f.held.low}) writer.scalar(++number, Counter{value}, kMembership);
+  for (const auto value : {f.held.counted, f.held.level})
+    writer.scalar(++number, gauge(static_cast<std::size_t>(value)), kMembership);
   for (std::size_t i = 0; i < f.members.size(); ++i) {
     const auto& m = f.members[i];
     writer.row(kMembers, i + 1,
--- a/src/snmp/snapshot.hpp
+++ b/src/snmp/snapshot.hpp
@@ -64,6 +64,12 @@
   std::uint64_t sent = 0, received = 0, unread = 0, votersDiffer = 0, decided = 0;
   bool leads = false;
   std::vector<Member> members;
+  struct Register {                        // how far what the voters agree on has come
+    std::optional<std::uint64_t> ageMs{};  // none: no voter has ever vouched for it here
+    std::uint64_t position = 0, low = 0;   // number of commands: here, and at all counted
+    std::uint64_t counted = 0, level = 0;  // members below this one, itself included; with its position
+  };
+  Register held{};
 };
 
 // None where that part is off; its objects are absent then.
