--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -60,6 +60,9 @@
   void word(const std::string& to, std::string bytes, Nanos now) {
     if (!send(to, std::move(bytes), Urgency::word, now)) ++counters.deferred;
   }
+  void answer(const std::string& to, std::string bytes, Nanos now) {
+    if (!send(to, std::move(bytes), Urgency::answer, now)) ++counters.deferred;
+  }
   std::vector<Out> sent() { return std::exchange(out, {}); }
 
   // Time.
@@ -156,11 +159,10 @@
     const auto* frozen = replica.frozenBeyond(child.counts.at, now);
     if (!frozen) return;
     child.offeredAt = now;
-    if (!send(name,
-              write(Offer{frozen->at.generation, frozen->at.number, frozen->digest, frozen->hash,
-                          frozen->bytes.size()}),
-              Urgency::change, now))
-      ++counters.deferred;
+    answer(name,
+           write(Offer{frozen->at.generation, frozen->at.number, frozen->digest, frozen->hash,
+                       frozen->bytes.size()}),
+           now);
   }
   // Where the child is in this one's history, and what it gets from there.
   void settle(const std::string& name, Child& child, bool diverged, Nanos now) {
@@ -176,7 +178,7 @@
     if (std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end()) return;
     if (r.flags & Report::kLook) {
       const bool takes = children.find(from) || (children.hasRoom(tree, s.fanOut) && from != parents.parent());
-      return word(from, takes ? beatBytes(now) : writeBare(Kind::refuse), now);
+      return answer(from, takes ? beatBytes(now) : writeBare(Kind::refuse), now);
     }
     auto* child = children.find(from);
     const bool fresh = !child;
@@ -186,7 +188,7 @@
       const auto admitted = loop ? Children::Admission::refused
                                  : children.admit(from, r.flags & Report::kUrgent, tree, s.fanOut, turnedAway);
       if (admitted != Children::Admission::taken) ++counters.turnedAway;
-      if (admitted == Children::Admission::refused) return word(from, writeBare(Kind::refuse), now);
+      if (admitted == Children::Admission::refused) return answer(from, writeBare(Kind::refuse), now);
       if (admitted == Children::Admission::instead) word(turnedAway, writeBare(Kind::refuse), now);
       child = children.find(from);
     }
@@ -195,8 +197,8 @@
     dirty = true;
     if (r.flags & Report::kSubscribe) word(from, beatBytes(now), now);
     const bool lost = r.number < child->sent && now - child->sentAt > kResend;
-    if (fresh || (r.flags & (Report::kSubscribe | Report::kMissing)) || !child->onLog || lost ||
-        r.number > child->sent)
+    const bool waits = !child->onLog && now - child->offeredAt > Children::kRenew;
+    if (fresh || (r.flags & (Report::kSubscribe | Report::kMissing)) || waits || lost || r.number > child->sent)
       settle(from, *child, r.flags & Report::kDiverged, now);
   }
   void onAsk(const std::string& from, const Ask& ask, Nanos now) {
@@ -206,7 +208,7 @@
       return;
     }
     const auto* frozen = replica.frozen(ask.number, ask.hash, now);
-    if (!frozen) return word(from, write(Nothing{ask.hash, false}), now);
+    if (!frozen) return answer(from, write(Nothing{ask.hash, false}), now);
     for (std::uint64_t i = ask.first; i < std::uint64_t{ask.first} + ask.count; ++i) {
       const std::uint64_t at = i * ask.pieceBytes;
       if (at >= frozen->bytes.size()) return;
@@ -214,7 +216,7 @@
                         frozen->bytes.substr(at, ask.pieceBytes)};
       if (send(from, write(piece), Urgency::piece, now)) continue;
       ++counters.deferred;
-      return word(from, write(Nothing{ask.hash, true}), now);
+      return answer(from, write(Nothing{ask.hash, true}), now);
     }
   }
 
@@ -284,7 +286,7 @@
   // A word of one that takes this one for its child.
   void stranger(const std::string& from, Nanos now) {
     ++counters.repeated;
-    word(from, writeBare(Kind::bye), now);
+    answer(from, writeBare(Kind::bye), now);
   }
   void onBeat(const std::string& from, const Beat& b, Nanos now) {
     const bool doubted = now < doubtUntil;
@@ -414,7 +416,7 @@
     const bool ahead = parentNumber > replica.position().number;
     const Nanos wait = ahead ? kReorder : 3 * kReorder, gap = ahead ? kAskGap : kOddGap;
     if (now - behindSince >= wait && now - askedAt >= gap && !fetch) missing(now);
-    if (!ahead || now - progressAt < slowAfter) return;
+    if (!ahead || fetch || now - progressAt < slowAfter) return;
     slowAfter = std::min(kMostSlow, 2 * slowAfter);
     progressAt = now;
     Parents::Words words;
--- a/src/dissemination/fetch.cpp
+++ b/src/dissemination/fetch.cpp
@@ -30,6 +30,12 @@
   sources_.insert(sources_.begin(), {name});
 }
 
+void Fetch::leaveAlone(Source& source, Nanos now) {
+  source.open = 0;
+  source.notBefore = now + source.wait;
+  source.wait = std::min(kMostBusy, 2 * source.wait);
+}
+
 bool Fetch::askOf(Source& source, Nanos now, Questions& out) {
   while (low_ < pieces_.size() && !pieces_[low_].empty()) ++low_;
   const auto free = [&](std::size_t i) {
@@ -52,7 +58,7 @@
   Questions out;
   std::size_t open = 0;
   for (auto& s : sources_) {
-    if (s.open > 0 && now - s.askedAt >= kAnswerWithin) s.open = 0, s.notBefore = now + kBusy;
+    if (s.open > 0 && now - s.askedAt >= kAnswerWithin) leaveAlone(s, now);
     open += s.open > 0;
   }
   for (std::size_t i = 0; i < sources_.size() && open < kAtOnce; ++i) {
@@ -74,15 +80,17 @@
   ++have_;
   progressAt_ = now;
   auto* source = find(from);
-  if (source && source->open > 0) --source->open;
+  if (source) {
+    source->wait = kBusy;
+    if (source->open > 0) --source->open;
+  }
   return true;
 }
 
 void Fetch::nothing(const std::string& from, bool busy, Nanos now) {
   auto* source = find(from);
   if (!source) return;
-  source->open = 0;
-  source->notBefore = now + kBusy;
+  leaveAlone(*source, now);
   source->without = source->without || !busy;
 }
 
--- a/src/dissemination/fetch.hpp
+++ b/src/dissemination/fetch.hpp
@@ -37,17 +37,19 @@
 
   static constexpr Nanos kMs = 1'000'000;
   static constexpr Nanos kAnswerWithin = 500 * kMs;  // a piece asked for, else it is asked for again
-  static constexpr Nanos kBusy = 3000 * kMs;         // a source without bytes to spend is left alone
+  static constexpr Nanos kBusy = 1000 * kMs;         // a source without bytes to spend is left alone, and longer
+  static constexpr Nanos kMostBusy = 16'000 * kMs;   // each time
   static constexpr Nanos kStuck = 2000 * kMs, kGivenUp = 20'000 * kMs;
   static constexpr std::size_t kAtOnce = 4, kMostSources = 48;
 
  private:
   struct Source {
     std::string name;
-    Nanos askedAt = 0, notBefore = 0;
+    Nanos askedAt = 0, notBefore = 0, wait = kBusy;
     std::uint32_t open = 0;  // pieces asked of it that are still to come
     bool without = false;
   };
+  static void leaveAlone(Source& source, Nanos now);
   bool askOf(Source& source, Nanos now, Questions& out);
   Source* find(const std::string& name);
 
--- a/src/dissemination/parents.cpp
+++ b/src/dissemination/parents.cpp
@@ -9,6 +9,7 @@
 void Parents::plan(const Tree& tree, Nanos now) {
   candidates_ = tree.candidates;
   preferred_ = tree.preferred;
+  relays_ = tree.relays;
   below_ = tree.top - tree.level;
   homeAt_ = now + jitter(2 * kSec);
   tryAt_ = std::min(tryAt_, now);
@@ -57,9 +58,13 @@
 
 void Parents::look(Nanos now, Words& words) {
   std::erase_if(looked_, [&](const auto& l) { return now - l.second > kSec; });
+  // The voters are few, and those above look there first.
+  const bool voters = relays_ == 0 || below_ <= 1 || looks_ % kVotersLook == kVotersLook - 1;
+  ++looks_;
+  const std::size_t end = voters ? candidates_.size() : relays_;
   std::size_t asked = 0;
-  for (std::size_t i = 0; i < candidates_.size() && asked < kLooks; ++i) {
-    const auto& name = candidates_[lookNext_++ % candidates_.size()];
+  for (std::size_t i = 0; i < end && asked < kLooks; ++i) {
+    const auto& name = candidates_[lookNext_++ % end];
     if (name == parent_) continue;
     looked_[name] = now;
     words.push_back({Kind::look, name});
@@ -88,7 +93,7 @@
   if (parent_.empty()) return words;
   if (parentAge(now) > staleAfter_) {
     if (staleSince_ == 0) {
-      staleSince_ = now, lookWait_ = 250 * kMs, lookNext_ = 0;
+      staleSince_ = now, lookWait_ = 250 * kMs, lookNext_ = looks_ = 0;
       lookAt_ = now + static_cast<Nanos>(std::min<std::size_t>(below_, 3)) * kPatience;
     }
     if (now >= lookAt_) {
--- a/src/dissemination/parents.hpp
+++ b/src/dissemination/parents.hpp
@@ -49,6 +49,7 @@
   static constexpr Nanos kFresher = 500 * kMs;          // news worth a change of the parent
   static constexpr Nanos kPatience = 300 * kMs;         // a level: those above look first
   static constexpr std::size_t kLooks = 3;              // at a time
+  static constexpr std::size_t kVotersLook = 4;  // of so many looks one goes to voters, where relays are there
 
  private:
   Nanos parentAge(Nanos now) const;
@@ -61,14 +62,14 @@
   Nanos silentAfter_, staleAfter_;
   std::mt19937_64 random_;
   std::vector<std::string> candidates_;
-  std::size_t preferred_ = 0, below_ = 0;
+  std::size_t preferred_ = 0, relays_ = 0, below_ = 0;
   std::string parent_, trying_;
   Nanos heardAt_ = 0, askedAt_ = 0, every_ = 0;
   Nanos age_ = kNeverVouched, ageAt_ = 0;  // of the parent's news, and when it said so
   Nanos triedAt_ = 0, tryAt_ = 0, wait_ = 0;
   bool urgent_ = false;
   Nanos staleSince_ = 0, lookAt_ = 0, lookWait_ = 0, homeAt_ = 0;
-  std::size_t lookNext_ = 0;
+  std::size_t lookNext_ = 0, looks_ = 0;
   std::map<std::string, Nanos> avoided_;  // until
   std::map<std::string, Nanos> looked_;   // when; only answers to these count
   std::uint64_t left_ = 0;
--- a/src/dissemination/tree.cpp
+++ b/src/dissemination/tree.cpp
@@ -88,6 +88,7 @@
   }
   const bool relaySelf = among(s.relays, s.self);
   const auto votersToo = [&] {
+    out.relays = out.candidates.size();
     rendezvous(s.self, voterNames, voterNames.size(), out.candidates);
     rendezvous(s.self, deadVoters, deadVoters.size(), out.candidates);
   };
--- a/src/dissemination/tree.hpp
+++ b/src/dissemination/tree.hpp
@@ -18,6 +18,7 @@
 struct Tree {
   std::vector<std::string> candidates;  // to be this one's parent, the first one first
   std::size_t preferred = 0;            // so many of them are of the level above; the others are a last resort
+  std::size_t relays = 0;               // so many come before the voters
   std::vector<std::string> sources;     // members of the zone that may have a snapshot to hand on
   std::size_t level = 0;                // 0: relays for nobody, by plan
   std::size_t top = 0;                  // level of the uppermost relays of the zone
