--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -16,11 +16,13 @@
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kOpenAgain = 100'000'000;
 constexpr Nanos kTicksAPeriod = 10;
+constexpr Nanos kLongestTick = 100 * kMs;  // as the dissemination wants it
 // Between two looks at a voter's register, by a connection each, while the dissemination does not reach this
 // member: 300 members make 20 a second at each of three voters.
 constexpr Nanos kFollowPeriods = 5;
 // Without word that a voter vouched for the register it is stale here, and asked for.
 constexpr Nanos kStalePeriods = 10;
+// This long without such word, no leader is taken to be known.
 constexpr Nanos kLedPeriods = agreement::Follower::kFresh * kFollowPeriods;
 // Of the dissemination's times, by the period; with the usual one of 1 s, those of its Settings.
 constexpr Nanos kBeatsAPeriod = 4, kSilentFifths = 4, kFreshPeriods = 2;
@@ -164,12 +166,13 @@
     log_.line("membership.state_cut", fmt::format("{} bytes had not come in whole", council_->cutOff()));
   carryOut(detector_.join(config_.seeds, loop_.now()));
   viewChanged_ = true;
-  if (follower_) follower_->rest(loop_.now());
+  startedAt_ = loop_.now();
   tick();
 }
 
 void Side::tick() {
-  timer_ = loop_.after(std::max<Nanos>(1, config_.period / kTicksAPeriod), [this] { tick(); });
+  const auto next = std::clamp<Nanos>(config_.period / kTicksAPeriod, 1, kLongestTick);
+  timer_ = loop_.after(next, [this] { tick(); });
   detector_.busy(meter_.now(host_.load(), loop_.now()));
   carryOut(detector_.tick(loop_.now()));
   if (council_) tell(council_->tick(loop_.now()));
@@ -315,8 +318,8 @@
 void Side::showView() {
   std::vector<dissemination::Peer> view;
   for (const auto& [name, m] : detector_.view())
-    if (disseminates(m.record))
-      view.push_back({name, m.record.zone, m.record.state <= membership::State::suspect});
+    view.push_back(
+        {name, m.record.zone, m.record.state <= membership::State::suspect && disseminates(m.record)});
   disseminator_->sees(std::move(view));
 }
 
@@ -331,12 +334,15 @@
   lookAtTree();
 }
 
-// As small as they can be: the receiver knows where the sender hears.
+// As small as they can be: the receiver knows where the sender hears. Not to members from before them.
 void Side::tell(const std::vector<dissemination::Out>& messages) {
-  for (const auto& out : messages)
+  for (const auto& out : messages) {
+    const auto at = detector_.view().find(out.to);
+    if (at != detector_.view().end() && !disseminates(at->second.record)) continue;
     send({addressOf(out.to),
           membership::Message{
               .kind = membership::Kind::dissemination, .sender = config_.name, .payload = out.bytes}});
+  }
 }
 
 std::string Side::answerTo(const membership::Message& question) {
@@ -353,7 +359,7 @@
   const auto now = loop_.now();
   if (disseminator_) {
     const auto age = disseminator_->age(now);
-    if (age >= 0 && age <= kStalePeriods * config_.period) follower_->rest(now);
+    if ((age < 0 ? now - startedAt_ : age) <= kStalePeriods * config_.period) follower_->rest(now);
     if (disseminator_->position() >= positionOf(follower_->held())) follower_->drop();
   }
   const auto voter = follower_->tick(now);
--- a/src/fleet/side.hpp
+++ b/src/fleet/side.hpp
@@ -117,10 +117,11 @@
   // not reach them.
   std::unique_ptr<dissemination::Disseminator> disseminator_;
   std::optional<agreement::Follower> follower_;  // where it is no voter
-  bool viewChanged_ = false;                     // since it was shown to the dissemination
-  std::string coordinator_;                      // as it was last shown, with its fence
-  std::string parent_;                           // likewise
-  std::uint64_t diverged_ = 0;                   // likewise
+  Nanos startedAt_ = 0;
+  bool viewChanged_ = false;    // since it was shown to the dissemination
+  std::string coordinator_;     // as it was last shown, with its fence
+  std::string parent_;          // likewise
+  std::uint64_t diverged_ = 0;  // likewise
   bool worked_ = true, stale_ = false;
   Counters counters_;
   net::Loop::TimerId timer_{};
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -165,7 +165,219 @@
   w.untilLed("two of three go on", {0, 1}, 0);
 }
 
+bool isAmong(const std::vector<int>& who, const std::string& name) {
+  return std::find(who.begin(), who.end(), World::numberOf(name)) != who.end();
+}
+
+// Three voters, two zones of six members, more than the voters have room for: relays in between. Nobody can
+// ask for the register, so that what comes has come down the tree. A leader is killed, then a relay.
+void changesGoDownTheTree(World& w) {
+  const auto voters = World::range(0, 2), members = World::range(3, 14), all = World::range(0, 14);
+  w.keepsState = true, w.fanOut = 2;
+  w.path = [](int, int) { return Path{.unasked = true}; };
+  for (const int i : all) w.start(i, World::kFleet, i < 9 ? "a" : "b");
+  w.untilOneView("all have met", all);
+  auto led = w.untilLed("a first leader", voters, 0);
+  CHECK(w.untilHeldBy(members, led));
+  w.untilStanding("it is known", all, "agreed");
+  // Whose parent is a member: it is behind a relay.
+  const auto relayed = [&] {
+    for (const int i : members)
+      if (isAmong(members, w.follows(i).parent)) return i;
+    return -1;
+  };
+  w.untilTrue("nobody is behind a relay", [&] { return relayed() >= 0; });
+
+  std::map<int, long> asked, applied;
+  for (const int i : members) {
+    asked[i] = w.counter(i, "register_asked");
+    applied[i] = w.counter(i, "changes_applied") + w.counter(i, "snapshots_taken");
+  }
+  int leader = World::numberOf(led.coordinator);
+  w.process(leader).kill();
+  auto others = voters;
+  std::erase(others, leader);
+  led = w.untilLed("its leader is killed", others, led.fence);
+  CHECK(w.untilHeldBy(members, led));
+  int neverAsked = 0;
+  for (const int i : members) {
+    CHECK(w.counter(i, "changes_applied") + w.counter(i, "snapshots_taken") > applied[i]);
+    const long now = w.counter(i, "register_asked");
+    // Only one whose news was late for ten periods may ask.
+    CHECK(now == asked[i] || w.process(i).said("membership.stale"));
+    neverAsked += now == asked[i];
+  }
+  CHECK(2 * neverAsked > static_cast<int>(members.size()));
+
+  int child = -1, relay = -1;
+  w.untilTrue("nobody is behind a relay", [&] {
+    child = relayed();
+    relay = child < 0 ? -1 : World::numberOf(w.follows(child).parent);
+    return relay >= 0 && isAmong(members, World::nameOf(relay));
+  });
+  const long left = w.counter(child, "parents_left");
+  w.process(relay).kill();
+  w.untilTrue("a killed parent is kept", [&] {
+    const auto now = w.follows(child);
+    return !now.parent.empty() && World::numberOf(now.parent) != relay &&
+           w.counter(child, "parents_left") > left;
+  });
+  CHECK(w.process(child).said("membership.parent"));
+
+  // All that are there are counted, and all have what the leader has.
+  const auto there = static_cast<long>(all.size()) - 2;
+  led = w.untilLed("two of three", others, 0);
+  leader = World::numberOf(led.coordinator);
+  cli::View view;
+  w.untilTrue("the leader does not count all as level", [&] {
+    view = w.views({leader}).at(leader);
+    return view.counted == std::to_string(there) && view.level == view.counted && view.low == view.position;
+  });
+  CHECK(cli::compare({view}).find("# in force: " + std::to_string(w.led(leader).commands) + " at all of " +
+                                  std::to_string(there) + " counted") != std::string::npos);
+}
+
+// A zone is cut off from all voters while leaders change: it keeps what it has, and says how old that is;
+// back, it has what it has missed as changes, with the later fence. Nothing has to be asked for.
+void aZoneKeepsWhatItHas(World& w) {
+  const auto voters = World::range(0, 2), here = World::range(3, 5), away = World::range(6, 10),
+             all = World::range(0, 10);
+  const auto isAway = [](int i) { return i >= 6; };
+  w.keepsState = true, w.fanOut = 2;
+  w.path = [](int, int) { return Path{.unasked = true}; };
+  for (const int i : all) w.start(i, World::kFleet, isAway(i) ? "b" : "a");
+  w.untilOneView("all have met", all);
+  auto led = w.untilLed("a first leader", voters, 0);
+  CHECK(w.untilHeldBy(World::range(3, 10), led));
+  w.untilTrue("all have word of a leader", [&] {
+    return std::all_of(away.begin(), away.end(), [&](int i) { return w.follows(i).age >= 0; });
+  });
+  std::map<int, long> snapshots;
+  for (const int i : away) snapshots[i] = w.counter(i, "snapshots_taken");
+  const auto before = w.led(away.front());
+
+  w.path = [&](int from, int to) { return Path{.cut = isAway(from) != isAway(to), .unasked = true}; };
+  w.untilStanding("cut off from the voters", away, "minority");
+  for (const int i : away)
+    w.untilTrue("its age is not told", [&] { return w.process(i).said("membership.stale age="); });
+  const int killed = World::numberOf(led.coordinator);
+  w.process(killed).kill();
+  auto others = voters;
+  std::erase(others, killed);
+  led = w.untilLed("its leader is killed", others, led.fence);
+  CHECK(w.untilHeldBy(here, led));
+  double least = 1e9;
+  for (const int i : away) {
+    CHECK(w.led(i) == before);
+    least = std::min(least, w.follows(i).age);
+  }
+  CHECK(least > 10 * static_cast<double>(World::kPeriod) / 1e9);
+  w.untilTrue("its age stands still", [&] { return w.follows(away.front()).age > least + 1; });
+
+  w.path = [](int, int) { return Path{.unasked = true}; };
+  CHECK(w.untilHeldBy(away, led));
+  for (const int i : away) {
+    CHECK(w.led(i).fence >= led.fence && w.led(i).commands >= led.commands);
+    CHECK(w.counter(i, "snapshots_taken") == snapshots[i] && w.counter(i, "changes_applied") > 0);
+    w.untilTrue("it is not told to be fresh", [&] { return w.process(i).said("membership.fresh age="); });
+  }
+  w.untilStanding("healed", away, "agreed");
+}
+
+// Where the tree does not reach members, as among voters from before it, they ask as ever; one such voter
+// among others takes nothing away; and when the tree is there they leave off asking.
+void oldAndNewSideBySide(World& w) {
+  const auto voters = World::range(0, 2), members = World::range(3, 6), all = World::range(0, 6);
+  w.keepsState = true;
+  w.path = [](int, int) { return Path{.untold = true}; };
+  w.start(0, 6);
+  w.untilOneView("all have met", all);
+  auto led = w.untilLed("a first leader", voters, 0);
+  CHECK(w.untilHeldBy(members, led));
+  for (const int i : members) {
+    CHECK(w.counter(i, "register_asked") > 0 && w.counter(i, "changes_applied") == 0);
+    CHECK(w.follows(i).parent.empty());
+  }
+  w.untilStanding("voters answer", all, "agreed");
+
+  w.path = [](int from, int to) { return Path{.untold = from == 0 || to == 0, .unasked = true}; };
+  w.untilTrue("two of three voters do not reach all", [&] {
+    return std::all_of(members.begin(), members.end(), [&](int i) {
+      const auto now = w.follows(i);
+      return !now.parent.empty() && now.parent != "n0" && now.age >= 0 && now.age < 1;
+    });
+  });
+  std::map<int, long> asked;
+  for (const int i : members) asked[i] = w.counter(i, "register_asked");
+  const int killed = World::numberOf(led.coordinator);
+  w.process(killed).kill();
+  auto others = voters;
+  std::erase(others, killed);
+  led = w.untilLed("its leader is killed", others, led.fence);
+  w.path = [](int, int) { return Path{.unasked = true}; };
+  CHECK(w.untilHeldBy(members, led));
+  for (const int i : members)
+    CHECK(w.counter(i, "register_asked") == asked[i] || w.process(i).said("membership.stale"));
+}
+
+// A voter from before the dissemination, played by the test: it is there, and says which version it is. What
+// it could not read is not sent to it once that is known; the others go on.
+class OldVoter {
+ public:
+  OldVoter(World& w, int number) : name_(World::nameOf(number)), front_(w.front(number)) {
+    socket_.emplace(w.loop, Poco::Net::SocketAddress(front_),
+                    [this](auto bytes, const auto&) { take(bytes); });
+  }
+  void introduce(const std::string& to) { send(to, {.kind = membership::Kind::ping}); }
+  long disseminated() const { return disseminated_; }
+
+ private:
+  void send(const std::string& to, membership::Message message) {
+    message.sender = name_, message.from = front_;
+    message.news = {{.name = name_, .address = front_, .zone = "a", .version = "0.1.0"}};
+    message.news.front().published = {1, membership::Duty::serving};
+    socket_->send(fleet::encode(message, World::kFleet), Poco::Net::SocketAddress(to));
+  }
+  void take(std::string_view bytes) {
+    const auto read = fleet::decode(bytes, World::kFleet);
+    const auto* message = std::get_if<membership::Message>(&read);
+    if (!message) return;
+    disseminated_ += message->kind == membership::Kind::dissemination;
+    if (message->kind == membership::Kind::ping && message->about == name_)
+      send(message->from, {.kind = membership::Kind::ack, .about = name_, .sequence = message->sequence});
+  }
+
+  std::string name_, front_;
+  std::optional<net::Datagrams> socket_;
+  long disseminated_ = 0;
+};
+
+void anOldVoterIsSpared(World& w) {
+  OldVoter old(w, 2);
+  const std::vector<int> voters{0, 1}, members{3, 4}, all{0, 1, 3, 4};
+  w.keepsState = true;
+  for (const int i : all) w.start(i);
+  w.untilOneView("all have met", all);
+  for (const int i : all) old.introduce(w.front(i));
+  w.untilHeld("the old voter is there", all, {2}, {"alive"});
+  const auto led = w.untilLed("two of three voters", voters, 0);
+  CHECK(w.untilHeldBy(members, led));
+  w.untilStanding("two of three voters", all, "agreed");
+  const auto received = [&](long more) {
+    std::map<int, long> least;
+    for (const int i : members) least[i] = w.counter(i, "changes_received") + more;
+    for (const auto& [i, count] : least) w.untilCounted(i, "changes_received", count);
+  };
+  received(10);  // what was on its way has come in
+  const long before = old.disseminated();
+  received(50);
+  CHECK(old.disseminated() == before);
+}
+
+const char* only = nullptr;  // the case that is played; none: all
+
 void play(const char* path, const char* name, int voters, std::uint64_t seed, void (*body)(World&)) {
+  if (only && std::string(only) != name) return;
   World world(path, name, voters, seed);
   world.play([&] { body(world); });
 }
@@ -176,8 +388,13 @@
 int main(int count, char** words) {
   using namespace topazweir::test;
   const std::uint64_t seed = count > 2 ? std::strtoull(words[2], nullptr, 10) : 1;
+  only = count > 3 ? words[3] : nullptr;
   play(words[1], "dead", 3, seed, theDeadAreFoundAndReturn);
   play(words[1], "parted", 3, seed, whatWasPartedIsOneAgain);
   play(words[1], "agreement", 3, seed, agreementOutlivesItsLeaders);
   play(words[1], "mistakes", 0, seed, mistakesChangeNothing);
+  play(words[1], "tree", 3, seed, changesGoDownTheTree);
+  play(words[1], "zone", 3, seed, aZoneKeepsWhatItHas);
+  play(words[1], "versions", 3, seed, oldAndNewSideBySide);
+  play(words[1], "old", 3, seed, anOldVoterIsSpared);
 }
--- a/tests/membership_parts_test.cpp
+++ b/tests/membership_parts_test.cpp
@@ -1,14 +1,19 @@
 // Membership's smaller parts: messages as bytes, shares of common limits, the standing, the block of the
-// operator file, the table of views.
+// operator file, the table of views, what voters hand on of what they have applied.
+#include <algorithm>
+#include <deque>
 #include <random>
 
 #include "check.hpp"
 #include "cli/members.hpp"
 #include "config/operator_config.hpp"
+#include "dissemination/disseminator.hpp"
 #include "fleet/codec.hpp"
+#include "fleet/council.hpp"
 #include "membership/load_meter.hpp"
 #include "membership/sharers.hpp"
 #include "membership/standing.hpp"
+#include "processes/process.hpp"
 
 namespace topazweir::test {
 namespace {
@@ -172,6 +177,32 @@
   CHECK(names(good + voter("n2", 2) + voter("n3", 2) + voter("n4", 4), "voter"));  // an address twice
   CHECK(names(good + voter("n1", 2) + voter("n2", 3) + voter("n3", 4), "voter"));  // not where it hears
   CHECK(names(good + voter("n2", 1) + voter("n3", 3) + voter("n4", 4), "voter"));  // somebody else there
+  CHECK(names(good + "fanOut = 1", "fanOut") && names(good + "fanOut = 65", "fanOut"));
+  CHECK(names(good + "changeBytesPerS = 511", "changeBytesPerS"));
+  CHECK(names(good + "relays = [\"n 2\"]", "relays") && names(good + "relays = [\"\"]", "relays"));
+  CHECK(names(good + "relays = [\"n2\", \"n2\"]", "relays") && names(good + "relays = \"n2\"", "relays"));
+  CHECK(names(good + voter("n1", 1) + "relays = [\"n1\"]", "relays"));  // relays in any case
+  CHECK(names(good + "relays = [\"" + std::string(65, 'x') + "\"]", "relays"));
+}
+
+void disseminationIsConfigured() {
+  const std::string head = "membership {\nname = \"n1\"\nfleet = \"f\"\nlisten = \"127.0.0.1:1\"\n";
+  const auto read = [&](const std::string& more) {
+    return config::readOperator(head + more + "}\n", "o.hcl", config::standalone(0));
+  };
+  const auto usual = read(""), given = read("relays = [\"n2\", \"n3\"]\nfanOut = 4\nchangeBytesPerS = 512\n");
+  CHECK(usual.membership->relays.empty() && usual.membership->fanOut == 8 &&
+        usual.membership->changeBytesPerS == 2048);
+  CHECK(given.membership->relays == (std::vector<std::string>{"n2", "n3"}) && given.membership->fanOut == 4 &&
+        given.membership->changeBytesPerS == 512);
+  CHECK(*usual.membership == *read("").membership && !(*usual.membership == *given.membership));
+  const auto shows = [](const config::Operator& file, const std::string& path, const std::string& value) {
+    return std::any_of(file.settings.begin(), file.settings.end(), [&](const config::Setting& s) {
+      return s.path == "membership." + path && s.value == value;
+    });
+  };
+  CHECK(shows(usual, "fanOut", "8") && shows(usual, "changeBytesPerS", "2048"));
+  CHECK(shows(given, "relays", R"(["n2", "n3"])") && shows(given, "fanOut", "4"));
 }
 
 void differencesAreShownSideBySide() {
@@ -190,6 +221,151 @@
   CHECK(cli::compare({one, cli::readView("a", "")}).find("# a: no answer") != std::string::npos);
 }
 
+// By the leader's word alone; heads from before it have none.
+void whatIsInForceIsShown() {
+  const std::string head = "ACK self=n1 fleet=f standing=agreed alive=6 known=6 doubts=0 leader=",
+                    row = "\nn1 alive serving 5 0 - 1 a:1 0 0\n";
+  const auto shown = [&](const std::string& more) {
+    return cli::compare({cli::readView("127.0.0.1:1", head + more + row)});
+  };
+  const auto before = cli::readView("127.0.0.1:1", head + "n1 term=2 decided=7" + row);
+  CHECK(before.rows.size() == 1 && before.low.empty() && before.behind.empty());
+  CHECK(shown("n1 term=2 decided=7 position=99/7 age=0.0 parent=- in_force=99/7 members=5 level=5")
+            .find("\n# in force: 7 at all of 5 counted (6 known alive)\n") != std::string::npos);
+  CHECK(
+      shown("n1 term=2 decided=7 position=99/7 age=0.0 parent=- in_force=98/9 members=5 level=3 "
+            "behind=98/9:n5 behind=99/6:n:4")
+          .find("\n# in force: 7 at 3 of 5 counted (6 known alive), 98/9 at all; behind: n5 at 98/9, n:4 at "
+                "6\n") != std::string::npos);
+  CHECK(shown("n2 term=2 decided=7 position=99/7 age=0.0 parent=- in_force=99/7 members=1 level=1")
+            .find("\n# in force: ask the leader, n2\n") != std::string::npos);
+  CHECK(shown("- term=2 decided=0").find("in force") == std::string::npos);
+}
+
+// What an earlier process of this name has said of its version is refuted: what the others send goes by it.
+void aStaleVersionIsRefuted() {
+  auto detector = holding({});
+  auto stale = detector.self();
+  stale.version = "0.0.9";
+  const auto before = detector.self().incarnation;
+  detector.received(Message{.kind = Kind::syncReply, .news = {detector.self()}}, kSec);
+  CHECK(detector.self().incarnation == before);
+  detector.received(Message{.kind = Kind::syncReply, .news = {stale}}, kSec);
+  CHECK(detector.self().incarnation == before + 1 && detector.self().version == "0.1.0");
+}
+
+// Three voters in memory, messages without delay. The third one is cut off until the others' log no longer
+// reaches back to what it has: it gets a snapshot, which no list of commands may lead over.
+void appliedCommandsAreHandedOn() {
+  using namespace agreement;
+  std::vector<MemoryStore> stores(3);
+  std::vector<std::unique_ptr<Voter>> voters;
+  std::vector<Register> rebuilt(3);  // by the commands handed on, or taken whole
+  std::vector<std::size_t> whole(3), commands(3);
+  std::deque<std::pair<VoterId, Voter::Out>> wire;
+  Nanos now = kSec;
+  bool cut = false;
+  const auto carry = [&](VoterId id, Voter::Step step) {
+    for (auto& out : step.out) wire.emplace_back(id, std::move(out));
+    auto& mine = rebuilt[id - 1];
+    const auto& held = voters[id - 1]->held();
+    if (mine.commands() + step.applied.size() == held.commands()) {
+      for (const auto& command : step.applied) mine.apply(command);
+      commands[id - 1] += step.applied.size();
+    } else {
+      mine = held, ++whole[id - 1];
+    }
+    CHECK(mine == held);
+  };
+  for (VoterId id = 1; id <= 3; ++id) {
+    VoterOptions options{.self = id, .voters = {1, 2, 3}, .snapshotEvery = 16, .trailing = 4, .seed = id};
+    voters.push_back(std::make_unique<Voter>(options, stores[id - 1], now));
+  }
+  const auto run = [&](const std::function<bool()>& holds) {
+    for (int i = 0; i < 20'000 && !holds(); ++i) {
+      now += 20 * kSec / 1000;
+      for (VoterId id = 1; id <= 3; ++id) carry(id, voters[id - 1]->tick(now));
+      while (!wire.empty()) {
+        const auto [from, out] = std::move(wire.front());
+        wire.pop_front();
+        if (cut && (from == 3 || out.to == 3)) continue;
+        carry(out.to, voters[out.to - 1]->received(from, out.bytes, now));
+      }
+    }
+    CHECK(holds());
+  };
+  const auto leader = [&]() -> VoterId {
+    for (const VoterId id : {1, 2})
+      if (voters[id - 1]->leads()) return id;
+    return 0;
+  };
+  const auto ask = [&](const std::string& key, std::uint64_t expected) {
+    run([&] { return leader() > 0; });
+    const auto id = leader();
+    const auto before = voters[id - 1]->held().commands();
+    auto step = voters[id - 1]->propose({key, "x", expected}, 1, now);
+    if (step) carry(id, std::move(*step));
+    run([&] { return !step || voters[id - 1]->held().commands() > before; });
+  };
+  ask("a", 0);
+  ask("a", 0);  // without effect, and handed on all the same
+  run([&] { return voters[2]->held().commands() >= 2; });
+  CHECK(rebuilt[2].commands() == voters[2]->held().commands() && commands[2] >= 2 && whole[2] == 0);
+  cut = true;
+  for (int i = 0; i < 60; ++i) ask("k" + std::to_string(i % 5), 0);
+  cut = false;
+  run([&] { return voters[2]->held() == voters[0]->held() && voters[0]->held() == voters[1]->held(); });
+  CHECK(whole[2] == 1 && whole[0] == 0 && whole[1] == 0);
+  CHECK(rebuilt[0] == rebuilt[2] && commands[leader() - 1] >= 60);
+}
+
+// The first leader writes when this state of the voters began, before anything else; later ones leave it.
+void theGenerationIsWrittenOnce() {
+  config::Membership config;
+  config.name = "n1", config.fleet = "f";
+  config.voters = {{"n1", "127.0.0.1:1"}};
+  config.state = scratchFolder("generation");
+  config.period = kSec;
+  std::string generation;
+  for (const Nanos start : {1'700'000'000 * kSec, 1'700'000'100 * kSec}) {
+    fleet::Council council(config, 1, start);
+    std::vector<agreement::Command> applied;
+    Nanos now = start;
+    const auto done = [&] { return council.held().find(fleet::Council::kCoordinator) && council.leads(); };
+    for (int i = 0; i < 1000 && !done(); ++i) {
+      council.tick(now += kSec / 10);
+      for (auto& command : council.takeApplied()) applied.push_back(std::move(command));
+    }
+    CHECK(done());
+    for (int i = 0; i < 20; ++i) council.tick(now += kSec / 10);
+    const auto* held = council.held().find(dissemination::kGenerationKey);
+    CHECK(held && held->fence == 1 && council.held().commands() == 2);
+    CHECK(!applied.empty() && applied.front().key == dissemination::kGenerationKey);
+    const auto ms = std::strtoll(held->value.c_str(), nullptr, 10);
+    CHECK(ms >= 1'700'000'000'000 && ms < 1'700'000'100'000);
+    CHECK(generation.empty() || generation == held->value);
+    generation = held->value;
+  }
+}
+
+// Beats are many: around the payload only what a receiver needs.
+void disseminationIsSmall() {
+  const Message message{
+      .kind = Kind::dissemination, .sender = "aggregator-17", .payload = std::string("a\0b", 3)};
+  const auto bytes = fleet::encode(message, "dawa");
+  const auto read = std::get<Message>(fleet::decode(bytes, "dawa"));
+  CHECK(read.kind == Kind::dissemination && read.sender == message.sender && read.payload == message.payload);
+  CHECK(bytes.size() <= message.payload.size() + message.sender.size() + 4 + 24);
+  CHECK(!byStream(Kind::dissemination) && !byStream(Kind::agreement) && !byStream(Kind::ack));
+  CHECK(byStream(Kind::sync) && byStream(Kind::syncReply) && byStream(Kind::follow) &&
+        byStream(Kind::followReply));
+  // A kind that is not known, as this one was to members before it, is broken.
+  auto later = message;
+  later.kind = static_cast<Kind>(kKinds);
+  CHECK(std::get<fleet::Unread>(fleet::decode(fleet::encode(later, "dawa"), "dawa")) ==
+        fleet::Unread::broken);
+}
+
 }  // namespace
 }  // namespace topazweir::test
 
@@ -205,4 +381,10 @@
   answersAreBoundedByTheirQuestions();
   wrongBlocksAreNamed();
   differencesAreShownSideBySide();
+  disseminationIsConfigured();
+  whatIsInForceIsShown();
+  aStaleVersionIsRefuted();
+  appliedCommandsAreHandedOn();
+  theGenerationIsWrittenOnce();
+  disseminationIsSmall();
 }
--- a/tests/processes/fleet.hpp
+++ b/tests/processes/fleet.hpp
@@ -47,7 +47,8 @@
                  << "\n  syncMs = 2000\n  forgetMs = 60000\n  seeds = [";
     for (std::size_t k = 0; k < seeds.size(); ++k)
       operatorFile << (k > 0 ? ", " : "") << '"' << front(seeds[k]) << '"';
-    operatorFile << "]\n";
+    operatorFile << "]\n  fanOut = " << fanOut
+                 << "\n  changeBytesPerS = 65536\n";  // beats go by the period, a fifth of the usual one
     for (int v = 0; v < voters_; ++v)
       operatorFile << "  voter \"" << nameOf(v) << "\" { address = \"" << front(v) << "\" }\n";
     if (keepsState) operatorFile << "  state = \"" << folder_ << "/state\"\n";
@@ -127,6 +128,28 @@
     }
     return out;
   }
+  // From whom a member that is no voter has its register; age in s, below 0: nobody has ever vouched for it.
+  struct Follows {
+    std::string parent;  // empty: none
+    double age = -1;
+  };
+  Follows follows(int i) {
+    const auto answer = call(i, "members register");
+    Follows out;
+    char name[64] = {};
+    const auto at = answer.find(" age=");
+    if (at == std::string::npos) return out;
+    std::sscanf(answer.c_str() + at, " age=%lf", &out.age);
+    if (const auto parent = answer.find(" parent="); parent != std::string::npos)
+      std::sscanf(answer.c_str() + parent, " parent=%63s", name);
+    if (std::string(name) != "-") out.parent = name;
+    return out;
+  }
+  // Waits for a condition that is asked of the processes.
+  void untilTrue(const std::string& what, const std::function<bool()>& holds) {
+    for (const Nanos end = loop.now() + kLimit; !holds(); runFor(kPeriod / 2))
+      if (loop.now() > end) fail(what);
+  }
   // Waits until each of them holds this, or what came later.
   bool untilHeldBy(const std::vector<int>& who, const Led& least) {
     for (const Nanos end = loop.now() + kLimit; loop.now() < end; runFor(kPeriod / 2))
@@ -202,6 +225,7 @@
   std::function<Path(int from, int to)> path = [](int, int) { return Path{}; };
   std::vector<int> seeds{0, 1};
   bool keepsState = false;  // the voters agree, and keep their word
+  int fanOut = 8;           // of the dissemination
 
  private:
   static constexpr Nanos kLimit = 90'000'000'000;
--- a/tests/processes/relay.hpp
+++ b/tests/processes/relay.hpp
@@ -1,5 +1,5 @@
 // What stands between two members of a fleet: each hears behind a relay of its own, which knows the sender
-// and drops, delays, repeats or cuts what goes on, one way or both.
+// and the kind, and drops, delays, repeats or cuts what goes on, one way or both.
 #pragma once
 
 #include <functional>
@@ -16,6 +16,8 @@
 
 struct Path {
   bool cut = false;
+  bool untold = false;   // messages of the dissemination alone are dropped: as to and from a member before it
+  bool unasked = false;  // questions for the whole register alone are
   double lost = 0, twice = 0;  // shares of datagrams
   Nanos most = 0;              // each takes a drawn time up to this: they overtake each other
 };
@@ -46,14 +48,19 @@
     std::shared_ptr<net::Connection> asking, asked;
     std::string input;
   };
-  std::string senderOf(std::string_view bytes) const {
+  // What is to become of a message on its way.
+  Path pathOf(std::string_view bytes) const {
     const auto read = fleet::decode(bytes, fleet_);
     const auto* message = std::get_if<membership::Message>(&read);
-    return message ? message->sender : std::string();
+    auto path = paths_(message ? message->sender : std::string());
+    if (!message) return path;
+    path.cut = path.cut || (path.untold && message->kind == membership::Kind::dissemination) ||
+               (path.unasked && message->kind == membership::Kind::follow);
+    return path;
   }
   bool chance(double share) { return std::uniform_real_distribution<>(0, 1)(random_) < share; }
   void take(std::string_view bytes) {
-    const auto path = paths_(senderOf(bytes));
+    const auto path = pathOf(bytes);
     if (path.cut || chance(path.lost)) return;
     for (int copies = chance(path.twice) ? 2 : 1; copies > 0; --copies)
       loop_.after(std::uniform_int_distribution<Nanos>(0, path.most)(random_),
@@ -77,8 +84,8 @@
     const auto length = fleet::lengthOf(at->input);
     if (at->asked || length == std::string_view::npos || at->input.size() < fleet::kFrameHead + length)
       return;
-    const auto from = senderOf(std::string_view(at->input).substr(fleet::kFrameHead, length));
-    if (paths_(from).cut) return;  // silent: whoever asks gives up by itself
+    if (pathOf(std::string_view(at->input).substr(fleet::kFrameHead, length)).cut)
+      return;  // silent: whoever asks gives up by itself
     at->asked = net::Connection::connect(loop_, member_, 1'000'000'000, *this);
   }
   void onUp(net::Connection& c) override {
--- a/tests/snmp_test.cpp
+++ b/tests/snmp_test.cpp
@@ -86,7 +86,8 @@
   calls.bufferedBytes = 77;
   calls.statuses = {{"OK", 9}, {"CANCELLED", 1}};
   const auto take = [&] {
-    snmp::MembershipFigures members{2, 0, 1, 10, 20, 3, 4, 5, true, {}};
+    snmp::MembershipFigures members{2, 0, 1, 10, 20, 3, 4, 5, true, {}, {}};
+    members.held = {1'234, 6'000'000'001, 6'000'000'000, 2'000, 1'999};
     members.members = {{"n1", "127.0.0.1:1", "a", "1", 1, 2, 4, 0, 0},
                        {"n2", "127.0.0.1:2", "b", "1", 3, 2, 6'000'000'000, 7, 250}};
     return snmp::take(broker, {{1, "s-1", ServerState::draining, 3, 5'000'000'000}},
@@ -111,6 +112,10 @@
     CHECK(manager.ask(SNMP_MSG_GET, at({1, 7, 4, 0}))->second == "3");
     CHECK(manager.ask(SNMP_MSG_GET, at({1, 8, 7, 0}))->second == "3");
     CHECK(manager.ask(SNMP_MSG_GET, at({1, 8, 9, 0}))->second == "5");
+    const std::vector<std::string> held{"1234", "6000000001", "6000000000", "2000", "1999"};
+    for (std::size_t i = 0; i < held.size(); ++i)
+      CHECK(manager.ask(SNMP_MSG_GET, at({1, 8, 11 + i, 0}))->second == held[i]);
+    CHECK(!manager.ask(SNMP_MSG_GET, at({1, 8, 16, 0})));
     CHECK(manager.ask(SNMP_MSG_GET, at({1, 9, 1, 3, 2}))->second == "3");
     CHECK(manager.ask(SNMP_MSG_GET, at({1, 9, 1, 8, 2}))->second == "6000000000");
     CHECK(!manager.ask(SNMP_MSG_SET, at({1, 1, 13, 0})));  // read-only
