--- a/src/dissemination/budget.hpp
+++ b/src/dissemination/budget.hpp
@@ -35,6 +35,12 @@
     return true;
   }
 
+  // Less than half of a burst is left.
+  bool low(Nanos now) {
+    refill(now);
+    return 2 * tokens_ < burst_;
+  }
+
   // Data in one moment, and again each tenth of a second.
   static constexpr double kPaceBytes = 32 * 1024;
   static constexpr double kWordShare = 0.75;
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -28,6 +28,7 @@
 constexpr Nanos kReorder = 100 * kMs;          // a beat may come in before the changes that it knows of
 constexpr Nanos kAskGap = 250 * kMs, kOddGap = 1000 * kMs;
 constexpr Nanos kSlow = 2 * kSec, kMostSlow = 16 * kSec;  // behind without any progress: the parent is slow
+constexpr Nanos kServed = 1500 * kMs;  // from one question for pieces to the next of the same
 constexpr Nanos kStill = 500 * kMs;  // between two ticks: the process stood still
 // What a message is taken to have been on its way, at most. No clock tells, and without it news that goes round
 // between two that have each other as parents would stay as fresh as it was.
@@ -209,6 +210,12 @@
     }
     const auto* frozen = replica.frozen(ask.number, ask.hash, now);
     if (!frozen) return answer(from, write(Nothing{ask.hash, false}), now);
+    // With little left one after the other is served: who has the whole of it hands it on.
+    if (budget.low(now) && served != from && now < servedUntil) {
+      ++counters.deferred;
+      return answer(from, write(Nothing{ask.hash, true}), now);
+    }
+    served = from, servedUntil = now + kServed;
     for (std::uint64_t i = ask.first; i < std::uint64_t{ask.first} + ask.count; ++i) {
       const std::uint64_t at = i * ask.pieceBytes;
       if (at >= frozen->bytes.size()) return;
@@ -551,6 +558,8 @@
   std::map<std::string, Counts> voterCounts;  // of the others, for the leader
   std::vector<Out> out;
   std::string leader, parentBefore;
+  std::string served;  // with pieces, as long as it asks on
+  Nanos servedUntil = 0;
   bool led = false, vouched = false, mistrusts = false, dirty = true;
   std::optional<Vouch> word_;  // the parent's latest, as long as this one is not where it was
   Nanos vouchedAt = 0, tickAt = 0, treeAt = 0, roundAt = 0, doubtUntil = 0;
--- a/src/dissemination/fetch.cpp
+++ b/src/dissemination/fetch.cpp
@@ -22,10 +22,7 @@
 }
 
 void Fetch::hasIt(const std::string& name) {
-  if (auto* source = find(name)) {
-    source->without = false;
-    return;
-  }
+  if (find(name)) return;
   if (sources_.size() >= kMostSources) sources_.pop_back();
   sources_.insert(sources_.begin(), {name});
 }
@@ -63,7 +60,7 @@
   }
   for (std::size_t i = 0; i < sources_.size() && open < kAtOnce; ++i) {
     auto& s = sources_[next_++ % sources_.size()];
-    if (s.open > 0 || s.without || now < s.notBefore) continue;
+    if (s.open > 0 || now < s.notBefore) continue;
     if (!askOf(s, now, out)) break;
     ++open;
   }
@@ -90,8 +87,8 @@
 void Fetch::nothing(const std::string& from, bool busy, Nanos now) {
   auto* source = find(from);
   if (!source) return;
+  if (!busy) source->wait = std::max(source->wait, kWithout);  // it may have it later
   leaveAlone(*source, now);
-  source->without = source->without || !busy;
 }
 
 std::string Fetch::bytes() const {
--- a/src/dissemination/fetch.hpp
+++ b/src/dissemination/fetch.hpp
@@ -38,8 +38,9 @@
   static constexpr Nanos kMs = 1'000'000;
   static constexpr Nanos kAnswerWithin = 500 * kMs;  // a piece asked for, else it is asked for again
   static constexpr Nanos kBusy = 1000 * kMs;         // a source without bytes to spend is left alone, and longer
-  static constexpr Nanos kMostBusy = 16'000 * kMs;   // each time
-  static constexpr Nanos kStuck = 2000 * kMs, kGivenUp = 20'000 * kMs;
+  static constexpr Nanos kMostBusy = 8'000 * kMs;    // each time
+  static constexpr Nanos kWithout = 2000 * kMs;      // one that has not got it
+  static constexpr Nanos kStuck = 2000 * kMs, kGivenUp = 30'000 * kMs;
   static constexpr std::size_t kAtOnce = 4, kMostSources = 48;
 
  private:
@@ -47,7 +48,6 @@
     std::string name;
     Nanos askedAt = 0, notBefore = 0, wait = kBusy;
     std::uint32_t open = 0;  // pieces asked of it that are still to come
-    bool without = false;
   };
   static void leaveAlone(Source& source, Nanos now);
   bool askOf(Source& source, Nanos now, Questions& out);
