--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -94,8 +94,12 @@
     const double bytes = static_cast<double>(children.all().size() * (kBeatBytes + s.frameBytes));
     return std::max(s.beatEvery, static_cast<Nanos>(bytes / (kBeatShare * s.bytesPerSecond) * 1e9));
   }
-  // A parent's next beat is waited for where it comes a little later than the own time.
-  Nanos announced() const { return std::max(interval(), std::min(parentEvery, 2 * interval())); }
+  // The next one is sent by then at the latest: a parent's beat is waited for where it comes a little later
+  // than the own time.
+  Nanos due() const {
+    const Nanos own = interval();
+    return s.votes ? own : std::max(own, std::min(parentEvery, 2 * own)) * 5 / 4;
+  }
   std::string beatBytes(Nanos now) const {
     Beat beat;
     beat.number = replica.position().number, beat.mark = replica.mark();
@@ -104,7 +108,7 @@
       beat.age = Beat::kNever;
     else
       beat.age = static_cast<std::uint32_t>(std::min<Nanos>(old / kAgeUnit + 1, Beat::kNever - 1));
-    beat.every = static_cast<std::uint16_t>(std::min<Nanos>(announced() / kAgeUnit, 0xffff));
+    beat.every = static_cast<std::uint16_t>(std::min<Nanos>(due() / kAgeUnit, 0xffff));
     return write(beat);
   }
   void beatAll(Nanos now) {
@@ -459,8 +463,7 @@
       fetchTick(now);
     }
     pushAll(now);
-    const Nanos due = s.votes ? interval() - 20 * kMs : announced() * 5 / 4;
-    if (now - roundAt >= due) beatAll(now);
+    if (now - roundAt >= due() - 20 * kMs) beatAll(now);
     reportIfDue(now);
   }
   void received(const std::string& from, std::string_view bytes, Nanos now) {
--- a/src/dissemination/parents.cpp
+++ b/src/dissemination/parents.cpp
@@ -82,9 +82,9 @@
   }
   if (!parent_.empty()) {
     const Nanos silence = now - heardAt_;
-    if (silence > std::max(silentAfter_, every_ + 300 * kMs)) {
+    if (silence > std::max(silentAfter_, every_ + 400 * kMs)) {
       leave(now, words, kAvoided);
-    } else if (silence > every_ + every_ / 4 + 50 * kMs && now - askedAt_ >= 150 * kMs) {
+    } else if (silence > every_ + 80 * kMs && now - askedAt_ >= 150 * kMs) {
       askedAt_ = now;
       words.push_back({Kind::ask, parent_});
     }
