--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -28,6 +28,7 @@
 constexpr Nanos kReorder = 100 * kMs;          // a beat may come in before the changes that it knows of
 constexpr Nanos kAskGap = 250 * kMs, kOddGap = 1000 * kMs;
 constexpr Nanos kSlow = 2 * kSec, kMostSlow = 16 * kSec;  // behind without any progress: the parent is slow
+constexpr Nanos kServed = 1500 * kMs;  // from one question for pieces to the next of the same
 constexpr Nanos kStill = 500 * kMs;  // between two ticks: the process stood still
 // What a message is taken to have been on its way, at most. No clock tells, and without it news that goes round
 // between two that have each other as parents would stay as fresh as it was.
@@ -93,8 +94,12 @@
     const double bytes = static_cast<double>(children.all().size() * (kBeatBytes + s.frameBytes));
     return std::max(s.beatEvery, static_cast<Nanos>(bytes / (kBeatShare * s.bytesPerSecond) * 1e9));
   }
-  // A parent's next beat is waited for where it comes a little later than the own time.
-  Nanos announced() const { return std::max(interval(), std::min(parentEvery, 2 * interval())); }
+  // The next one is sent by then at the latest: a parent's beat is waited for where it comes a little later
+  // than the own time.
+  Nanos due() const {
+    const Nanos own = interval();
+    return s.votes ? own : std::max(own, std::min(parentEvery, 2 * own)) * 5 / 4;
+  }
   std::string beatBytes(Nanos now) const {
     Beat beat;
     beat.number = replica.position().number, beat.mark = replica.mark();
@@ -103,7 +108,7 @@
       beat.age = Beat::kNever;
     else
       beat.age = static_cast<std::uint32_t>(std::min<Nanos>(old / kAgeUnit + 1, Beat::kNever - 1));
-    beat.every = static_cast<std::uint16_t>(std::min<Nanos>(announced() / kAgeUnit, 0xffff));
+    beat.every = static_cast<std::uint16_t>(std::min<Nanos>(due() / kAgeUnit, 0xffff));
     return write(beat);
   }
   void beatAll(Nanos now) {
@@ -209,6 +214,12 @@
     }
     const auto* frozen = replica.frozen(ask.number, ask.hash, now);
     if (!frozen) return answer(from, write(Nothing{ask.hash, false}), now);
+    // With little left one after the other is served: who has the whole of it hands it on.
+    if (budget.low(now) && served != from && now < servedUntil) {
+      ++counters.deferred;
+      return answer(from, write(Nothing{ask.hash, true}), now);
+    }
+    served = from, servedUntil = now + kServed;
     for (std::uint64_t i = ask.first; i < std::uint64_t{ask.first} + ask.count; ++i) {
       const std::uint64_t at = i * ask.pieceBytes;
       if (at >= frozen->bytes.size()) return;
@@ -452,8 +463,7 @@
       fetchTick(now);
     }
     pushAll(now);
-    const Nanos due = s.votes ? interval() - 20 * kMs : announced() * 5 / 4;
-    if (now - roundAt >= due) beatAll(now);
+    if (now - roundAt >= due() - 20 * kMs) beatAll(now);
     reportIfDue(now);
   }
   void received(const std::string& from, std::string_view bytes, Nanos now) {
@@ -551,6 +561,8 @@
   std::map<std::string, Counts> voterCounts;  // of the others, for the leader
   std::vector<Out> out;
   std::string leader, parentBefore;
+  std::string served;  // with pieces, as long as it asks on
+  Nanos servedUntil = 0;
   bool led = false, vouched = false, mistrusts = false, dirty = true;
   std::optional<Vouch> word_;  // the parent's latest, as long as this one is not where it was
   Nanos vouchedAt = 0, tickAt = 0, treeAt = 0, roundAt = 0, doubtUntil = 0;
