--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -372,6 +372,15 @@
   const long before = old.disseminated();
   received(50);
   CHECK(old.disseminated() == before);
+  // Also where it is the only one left that might be asked.
+  for (const int i : voters) w.process(i).kill();
+  w.untilTrue("a killed parent is kept", [&] {
+    return std::all_of(members.begin(), members.end(), [&](int i) {
+      const auto now = w.follows(i);
+      return now.parent.empty() && now.age > 4;
+    });
+  });
+  CHECK(old.disseminated() == before);
 }
 
 const char* only = nullptr;  // the case that is played; none: all
