--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -325,9 +325,9 @@
 
 void Side::onDissemination(const membership::Message& message) {
   if (!disseminator_) return;
-  const auto voters = config_.voterNames();
-  const bool known = detector_.view().count(message.sender) > 0 ||
-                     std::find(voters.begin(), voters.end(), message.sender) != voters.end();
+  const bool known = detector_.view().contains(message.sender) ||
+                     std::any_of(config_.voters.begin(), config_.voters.end(),
+                                 [&](const config::Voter& v) { return v.name == message.sender; });
   if (!known || message.sender == config_.name) return void(++counters_.changesForeign);
   tell(disseminator_->received(message.sender, message.payload, loop_.now()));
   lookAtRegister();
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -329,6 +329,12 @@
                     [this](auto bytes, const auto&) { take(bytes); });
   }
   void introduce(const std::string& to) { send(to, {.kind = membership::Kind::ping}); }
+  // As if a member of this name had said it.
+  void pretend(const std::string& to, const std::string& name, const std::string& payload) {
+    socket_->send(fleet::encode({.kind = membership::Kind::dissemination, .sender = name, .payload = payload},
+                                World::kFleet),
+                  Poco::Net::SocketAddress(to));
+  }
   long disseminated() const { return disseminated_; }
 
  private:
@@ -372,6 +378,13 @@
   const long before = old.disseminated();
   received(50);
   CHECK(old.disseminated() == before);
+  // By nobody that is known, by this member itself, and noise: counted, and nothing comes of it.
+  old.pretend(w.front(3), "n77", "x");
+  old.pretend(w.front(3), "n3", "x");
+  w.untilCounted(3, "changes_foreign", 2);
+  old.pretend(w.front(3), "n4", "no message of it");
+  w.untilCounted(3, "changes_broken", 1);
+  CHECK(w.led(3) == w.led(4) && w.counter(4, "changes_foreign") == 0);
   // Also where it is the only one left that might be asked.
   for (const int i : voters) w.process(i).kill();
   w.untilTrue("a killed parent is kept", [&] {
