--- a/src/dissemination/children.cpp
+++ b/src/dissemination/children.cpp
@@ -26,7 +26,7 @@
 
 std::size_t Children::soft(const Tree& tree, std::size_t fanOut) {
   const std::size_t most = std::max(fanOut, tree.share);
-  return std::min(hard(tree, fanOut), most + std::max<std::size_t>(1, most / 6));
+  return std::min(hard(tree, fanOut), most + std::max<std::size_t>(1, most / 3));
 }
 
 bool Children::hasRoom(const Tree& tree, std::size_t fanOut) const {
--- a/src/dissemination/parents.cpp
+++ b/src/dissemination/parents.cpp
@@ -14,6 +14,15 @@
   homeAt_ = now + jitter(2 * kSec);
   tryAt_ = std::min(tryAt_, now);
   std::erase_if(avoided_, [&](const auto& a) { return a.second <= now; });
+  std::erase_if(refused_, [&](const auto& a) { return a.second <= now; });
+}
+
+bool Parents::avoids(const std::string& name, Nanos now) const {
+  const auto until = [&](const std::map<std::string, Nanos>& of) {
+    const auto at = of.find(name);
+    return at != of.end() && at->second > now;
+  };
+  return until(avoided_) || until(refused_);
 }
 
 Nanos Parents::jitter(Nanos wait) {
@@ -34,9 +43,7 @@
   const std::size_t end = preferredOnly ? preferred_ : candidates_.size();
   for (std::size_t i = 0; i < end; ++i) {
     const auto& name = candidates_[i];
-    const auto at = avoided_.find(name);
-    if (name == parent_ || (at != avoided_.end() && at->second > now)) continue;
-    return name;
+    if (name != parent_ && !avoids(name, now)) return name;
   }
   return {};
 }
@@ -48,10 +55,10 @@
     words.push_back({urgent_ ? Kind::urgent : Kind::subscribe, trying_});
     return;
   }
-  // All have been tried: again from the first one, later each time; from now on those that have room only for
-  // who finds none elsewhere take it.
-  avoided_.clear();
-  wait_ = urgent_ ? std::min(kMostWait, std::max(2 * wait_, 250 * kMs)) : 50 * kMs;
+  // All have been tried: again from the first one, later each time.
+  if (urgent_) avoided_.clear();
+  refused_.clear();
+  wait_ = urgent_ ? std::min(kMostWait, std::max(2 * wait_, 250 * kMs)) : 20 * kMs;
   urgent_ = true;
   tryAt_ = now + jitter(wait_);
 }
@@ -110,7 +117,7 @@
     if (!home.empty()) {
       looked_[home] = now;
       words.push_back({Kind::look, home});
-      avoided_[home] = now + 5 * kSec;  // the next time another one, if this one does not answer
+      refused_[home] = now + 5 * kSec;  // the next time another one, if this one does not answer
     }
   }
   return words;
@@ -162,8 +169,13 @@
 void Parents::refused(const std::string& from, Nanos now, Words& words) {
   looked_.erase(from);
   if (from.empty() || (from != parent_ && from != trying_)) return;
-  avoided_[from] = now + kAvoided / 2;
+  refused_[from] = now + kAvoided / 2;
   if (from == trying_) trying_.clear();
+  // Those that keep some room for who finds none elsewhere are to take this one now.
+  if (!urgent_ && refused_.size() >= kRefusals) {
+    urgent_ = true;
+    refused_.clear();
+  }
   if (from == parent_) {
     parent_.clear();
     ++left_;
--- a/src/dissemination/parents.hpp
+++ b/src/dissemination/parents.hpp
@@ -43,7 +43,8 @@
   std::uint64_t left() const { return left_; }
 
   static constexpr Nanos kMs = 1'000'000, kSec = 1000 * kMs;
-  static constexpr Nanos kAnswerWithin = 350 * kMs;     // a subscription or a look
+  static constexpr Nanos kAnswerWithin = 250 * kMs;     // a subscription or a look
+  static constexpr std::size_t kRefusals = 3;           // from then on it takes what room there is
   static constexpr Nanos kMostWait = 3 * kSec;          // between tries
   static constexpr Nanos kAvoided = 10 * kSec;          // one that did not answer
   static constexpr Nanos kFresher = 500 * kMs;          // news worth a change of the parent
@@ -54,6 +55,7 @@
  private:
   Nanos parentAge(Nanos now) const;
   std::string next(Nanos now, bool preferredOnly);
+  bool avoids(const std::string& name, Nanos now) const;
   void tryNext(Nanos now, Words& words);
   void look(Nanos now, Words& words);
   Nanos jitter(Nanos wait);
@@ -70,7 +72,8 @@
   bool urgent_ = false;
   Nanos staleSince_ = 0, lookAt_ = 0, lookWait_ = 0, homeAt_ = 0;
   std::size_t lookNext_ = 0, looks_ = 0;
-  std::map<std::string, Nanos> avoided_;  // until
+  std::map<std::string, Nanos> avoided_;  // did not answer, or were silent; until
+  std::map<std::string, Nanos> refused_;  // until
   std::map<std::string, Nanos> looked_;   // when; only answers to these count
   std::uint64_t left_ = 0;
 };
--- a/src/lab/virtual_changes.hpp
+++ b/src/lab/virtual_changes.hpp
@@ -25,7 +25,8 @@
     int regions = 1, zones = 1;    // zones are dealt to regions, members to zones, one after the other
     dissemination::Settings settings;  // of all; name, zone, voters and seed are set here
     Nanos tickEvery = 100 * kMs;
-    Nanos viewLag = 3 * kSec;  // at most, from a start or death to everyone's view
+    Nanos viewLag = 3 * kSec;  // at most, from a start or death to everyone's view, and at least:
+    Nanos viewLeast = 0;
     Nanos near = 20 * kMs, farFrom = 40 * kMs, farTo = 80 * kMs;  // one way, within and between regions
     std::uint64_t seed = 1;
   };
@@ -81,15 +82,16 @@
     if (tellOthers) viewChanged();
     if (tellOthers) tell(i);
   }
-  void kill(int i) {
-    at(i).up = false;
+  void kill(int i) { kill(std::vector<int>{i}); }
+  void kill(const std::vector<int>& several) {
+    for (const int i : several) at(i).up = false;
     viewChanged();
   }
   void stall(int i, Nanos time) { at(i).stalledUntil = std::max(at(i).stalledUntil, now + time); }
   // Each member's view is brought up to date, each after its own wait.
   void viewChanged() {
     for (int i = 0; i < options_.members; ++i)
-      after(draw(options_.viewLag) + kMs, [this, i] { tell(i); });
+      after(options_.viewLeast + draw(options_.viewLag - options_.viewLeast) + kMs, [this, i] { tell(i); });
   }
   void tell(int i) {
     auto& m = at(i);
--- a/tests/dissemination_test.cpp
+++ b/tests/dissemination_test.cpp
@@ -1,6 +1,6 @@
 // How what the voters agreed on reaches every member: drawn schedules on a virtual clock under one checker, a
 // seeded mistake of each kind that the checker must find, broken bytes, and the fleet at its size.
-#include <chrono>
+#include <cmath>
 #include <cstring>
 
 #include "check.hpp"
@@ -214,11 +214,232 @@
   CHECK(bad == 0);
 }
 
+// ---- The fleet at its size.
+
+double percentile(std::vector<double> values, double p) {
+  std::sort(values.begin(), values.end());
+  const auto at = static_cast<std::size_t>(std::ceil(p * static_cast<double>(values.size()))) - 1;
+  return values[std::min(at, values.size() - 1)];
+}
+
+// When each change was in force at the last of the members that run.
+class Way {
+ public:
+  explicit Way(VirtualChanges& w) : w_(w), at_(static_cast<std::size_t>(w.size()), 0) {
+    w.stepped = [this, before = w.stepped](int i) {
+      before(i);
+      stepped(i);
+    };
+  }
+  void propose(agreement::Command command) {
+    CHECK(w_.propose(std::move(command)));
+    open_.push_back({w_.truth().commands(), w_.now, 0});
+  }
+  // Seconds from the decision to the last member; all members of now must have it.
+  std::vector<double> seconds() {
+    std::vector<double> out;
+    for (const auto& c : open_) {
+      Nanos last = c.at;
+      for (int i = 0; i < w_.size(); ++i)
+        if (w_.at(i).up) CHECK(at_[static_cast<std::size_t>(i)] >= c.number);
+      last = std::max(last, c.last);
+      out.push_back(static_cast<double>(last - c.at) / 1e9);
+    }
+    open_.clear();
+    return out;
+  }
+
+ private:
+  struct Open {
+    std::uint64_t number;
+    Nanos at, last;
+  };
+  void stepped(int i) {
+    auto& has = at_[static_cast<std::size_t>(i)];
+    const auto now = w_.at(i).node->position().number;
+    if (now <= has) return;
+    for (auto& c : open_)
+      if (c.number > has && c.number <= now && w_.at(i).up) c.last = w_.now;
+    has = now;
+  }
+  VirtualChanges& w_;
+  std::vector<std::uint64_t> at_;
+  std::vector<Open> open_;
+};
+
+agreement::Command hundredBytes(VirtualChanges& w, std::uint64_t keys) {
+  const std::string key = "permit/cell-" + std::to_string(10000 + w.draw(keys));
+  return put(w.truth(), key, std::string(50, 'v') + std::to_string(w.now));
+}
+
+VirtualChanges::Options sized(int members, std::uint64_t seed) {
+  VirtualChanges::Options o;
+  o.members = members, o.voters = 3, o.regions = 3, o.zones = 6, o.seed = seed;
+  o.viewLag = 14 * kSec, o.viewLeast = 13 * kSec;
+  return o;
+}
+
+struct Bytes {
+  double mean = 0, most = 0, worstMinute = 0, voters = 0;
+};
+Bytes bytesSince(VirtualChanges& w, const std::vector<std::uint64_t>& before, Nanos since) {
+  Bytes out;
+  const double seconds = static_cast<double>(w.now - since) / 1e9;
+  for (int i = 0; i < w.size(); ++i) {
+    auto& m = w.at(i);
+    if (!m.up) continue;
+    const double each = static_cast<double>(m.sentBytes - before[static_cast<std::size_t>(i)]) / seconds;
+    out.mean += each / w.size();
+    out.most = std::max(out.most, each);
+    if (m.votes) out.voters = std::max(out.voters, each);
+    out.worstMinute = std::max(out.worstMinute, static_cast<double>(m.worstMinute) / 60);
+  }
+  return out;
+}
+std::vector<std::uint64_t> marks(VirtualChanges& w) {
+  std::vector<std::uint64_t> out;
+  for (int i = 0; i < w.size(); ++i) {
+    out.push_back(w.at(i).sentBytes);
+    w.at(i).worstMinute = w.at(i).sentInMinute;
+  }
+  return out;
+}
+void row(const char* what, const std::vector<double>& way, const Bytes& b) {
+  std::printf("| %s | %zu | %.2f | %.2f | %.2f | %.2f | %.0f | %.0f | %.0f | %.0f |\n", what, way.size(),
+              percentile(way, 0.5), percentile(way, 0.99), percentile(way, 0.999), percentile(way, 1), b.mean,
+              b.most, b.voters, b.worstMinute);
+  std::fflush(stdout);
+}
+
+void atItsSize(int members, std::uint64_t seed) {
+  std::printf("\n%d members, 3 regions, 6 zones, 3 voters, loss 1 in 100, seed %llu\n", members,
+              static_cast<unsigned long long>(seed));
+  std::printf(
+      "| run | changes | p50 s | p99 s | p99.9 s | last s | B/s a member, mean | most | voter | worst minute, B/s |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  VirtualChanges w(sized(members, seed));
+  Checker checker(w, false);
+  Way way(w);
+  w.loss = 0.01;
+  w.startAll();
+  w.run(10 * kSec);
+  begin(w, 1);
+  for (int i = 0; i < 30; ++i) {
+    for (int k = 0; k < 10; ++k) w.propose(hundredBytes(w, 300));
+    w.run(kSec);
+  }
+  CHECK(checker.untilLevel(60 * kSec));
+  w.run(61 * kSec);
+
+  {  // an ordinary day, its changes four times as dense
+    const auto before = marks(w);
+    const Nanos since = w.now;
+    for (int i = 0; i < 110; ++i) {
+      way.propose(hundredBytes(w, 300));
+      w.run(kSec + w.draw(3 * kSec));
+    }
+    w.run(5 * kSec);
+    const auto seconds = way.seconds();
+    const auto bytes = bytesSince(w, before, since);
+    row("ordinary", seconds, bytes);
+    CHECK(percentile(seconds, 0.999) <= 5);
+    CHECK(bytes.mean <= 2048 && bytes.most <= 2048 && bytes.worstMinute <= 6 * 1024);
+    CHECK(checker.untilLevel(30 * kSec));
+  }
+  {  // an eighth at once; the view knows of it 13 s later
+    std::vector<int> rack;
+    for (int i = w.voters(); i < w.size(); ++i)
+      if (i % 8 == 3) rack.push_back(i);
+    const auto before = marks(w);
+    const Nanos since = w.now;
+    w.kill(rack);
+    std::vector<double> seconds;
+    for (int i = 0; i < 110; ++i) {
+      way.propose(hundredBytes(w, 300));
+      w.run(w.draw(500 * kMs));
+    }
+    w.run(6 * kSec);
+    seconds = way.seconds();
+    if (std::getenv("TELL")) for (double x : seconds) std::printf("%.1f ", x);
+    row("an eighth lost", seconds, bytesSince(w, before, since));
+    CHECK(percentile(seconds, 0.999) <= 5);
+    CHECK(checker.untilLevel(60 * kSec));
+    for (const int i : rack) w.start(i);
+    CHECK(checker.untilLevel(120 * kSec));
+  }
+  w.run(60 * kSec);
+  {  // a region cut off for as many changes as an hour has
+    w.cut = [&w](int a, int b) { return (w.at(a).region == 1) != (w.at(b).region == 1); };
+    w.viewChanged();
+    const Nanos since = w.now;
+    for (int i = 0; i < 325; ++i) {
+      w.propose(hundredBytes(w, 300));
+      w.run(300 * kMs);
+    }
+    Nanos youngest = w.now;
+    for (int i = 0; i < w.size(); ++i)
+      if (w.at(i).up && w.at(i).region == 1) youngest = std::min(youngest, w.at(i).node->age(w.now));
+    CHECK(youngest >= w.now - since - 2 * kSec);
+    const auto before = marks(w);
+    const Nanos healed = w.now;
+    w.cut = [](int, int) { return false; };
+    w.viewChanged();
+    while (!checker.everyoneLevel() && w.now < healed + 300 * kSec) w.run(100 * kMs);
+    const Nanos took = w.now - healed;
+    w.run(60 * kSec - std::min(took, 59 * kSec));
+    const auto bytes = bytesSince(w, before, healed);
+    std::printf("| region back after 325 changes: all level after %.1f s | | | | | | %.0f | %.0f | %.0f | %.0f |\n",
+                static_cast<double>(took) / 1e9, bytes.mean, bytes.most, bytes.voters, bytes.worstMinute);
+    CHECK(took <= 30 * kSec && bytes.worstMinute <= 6 * 1024 + 1);
+  }
+  CHECK(checker.untilLevel(120 * kSec));
+  checker.atTheEnd();
+  for (const auto& what : checker.violations) std::fprintf(stderr, "%s\n", what.c_str());
+  CHECK(checker.violations.empty());
+}
+
+void aMemberBack(int members, int keys, std::uint64_t seed) {
+  VirtualChanges w(sized(members, seed));
+  Checker checker(w, false);
+  w.startAll();
+  w.run(10 * kSec);
+  begin(w, 1);
+  for (int k = 0; k < keys;) {
+    for (int i = 0; i < 10; ++i, ++k)
+      w.propose({"permit/cell-" + std::to_string(10000 + k), std::string(75, 'v'), 0});
+    w.run(5 * kSec);
+  }
+  CHECK(checker.untilLevel(900 * kSec));
+  w.run(300 * kSec);
+  w.loss = 0.01;
+  const auto back = [&](std::vector<int> who) {
+    for (const int i : who) w.at(i).up = false;
+    for (const int i : who) w.start(i);
+    const Nanos since = w.now;
+    while (!checker.everyoneLevel() && w.now < since + 600 * kSec) w.run(100 * kMs);
+    std::printf("%d members, %zu keys, a register of %zu bytes: %zu started anew are level after %.1f s\n", members,
+                w.truth().all().size(), w.truth().write().size(), who.size(),
+                static_cast<double>(w.now - since) / 1e9);
+    std::fflush(stdout);
+    CHECK(checker.everyoneLevel());
+    w.run(300 * kSec);
+  };
+  back({members - 1});
+  back({members - 2, members - 3, members - 4, members - 5});
+  CHECK(checker.untilLevel(60 * kSec));
+  checker.atTheEnd();
+  for (const auto& what : checker.violations) std::fprintf(stderr, "%s\n", what.c_str());
+  CHECK(checker.violations.empty());
+}
+
 }  // namespace
 }  // namespace topazweir::test
 
 int main(int count, char** words) {
   using namespace topazweir::test;
   const Seeds seeds(count, words, 200);
-  schedules(seeds.first, seeds.last);
+  if (count <= 3) schedules(seeds.first, seeds.last);
+  const int members = count > 3 ? std::atoi(words[3]) : 2000;
+  if (members > 0) atItsSize(members, 1);
+  if (members > 0) aMemberBack(60, 9900, 1);
 }
