--- a/src/dissemination/budget.hpp
+++ b/src/dissemination/budget.hpp
@@ -1,6 +1,7 @@
-// What may be sent: a token bucket for the mean and its bursts, and two small ones. One spreads a burst of data
-// over time; the other holds words (beats, reports, answers) to three quarters of the mean, so that data goes
-// on whatever is asked. Words go first: data leaves a part of the bucket to them, snapshots a larger one.
+// What may be sent: a token bucket for the mean and its bursts, and two small ones. One spreads a burst of
+// data over time; the other holds words (beats, reports, answers) to three quarters of the mean, so that data
+// goes on whatever is asked. Words go first: data leaves a part of the bucket to them, snapshots a larger
+// one.
 #pragma once
 
 #include <algorithm>
--- a/src/dissemination/children.cpp
+++ b/src/dissemination/children.cpp
@@ -15,7 +15,8 @@
   out.members = std::clamp<std::uint64_t>(r.members, 1, kMostCounted);
   out.level = std::min(std::max<std::uint64_t>(r.level, 1), out.members);
   out.low = std::min(out.at, Position{r.lowGeneration, r.lowNumber});
-  for (const auto& [name, generation, number] : r.slowest) out.slowest.push_back({name, {generation, number}});
+  for (const auto& [name, generation, number] : r.slowest)
+    out.slowest.push_back({name, {generation, number}});
   out.reportedAt = now;
   return out;
 }
@@ -56,15 +57,15 @@
 }
 
 bool Children::forget(Nanos now) {
-  return std::erase_if(all_, [&](const auto& c) { return now - c.second.counts.reportedAt > kForgotten; }) > 0;
+  return std::erase_if(all_, [&](const auto& c) { return now - c.second.counts.reportedAt > kForgotten; }) >
+         0;
 }
 
 void Children::stoodStill(Nanos time) {
   for (auto& [name, child] : all_) child.counts.reportedAt += time;
 }
 
-InForce sum(const Position& own, const Children& children,
-            const std::map<std::string, Counts>& others) {
+InForce sum(const Position& own, const Children& children, const std::map<std::string, Counts>& others) {
   InForce out;
   out.members = 1, out.level = 1, out.low = own;
   const auto add = [&](const std::string& name, const Counts& c) {
--- a/src/dissemination/children.hpp
+++ b/src/dissemination/children.hpp
@@ -55,7 +55,6 @@
 };
 
 // Of this member at `own`, its children and whoever else reports to it.
-InForce sum(const Position& own, const Children& children,
-            const std::map<std::string, Counts>& others);
+InForce sum(const Position& own, const Children& children, const std::map<std::string, Counts>& others);
 
 }  // namespace topazweir::dissemination
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -19,19 +19,21 @@
 namespace {
 
 constexpr Nanos kMs = 1'000'000, kSec = 1000 * kMs;
-constexpr std::size_t kBatchBytes = 1100;      // of changes in a message, so that it is a datagram
-constexpr std::size_t kBeatBytes = 22;         // with the head
-constexpr double kBeatShare = 0.6;             // of the bytes that may be sent in the mean
-constexpr std::size_t kLogWorth = 64 * 1024;   // from here on a snapshot may be less than the changes
-constexpr Nanos kReportGap = 500 * kMs;        // between two reports that nobody has asked for
-constexpr Nanos kResend = 500 * kMs;           // sent changes that a report does not show by then are lost
-constexpr Nanos kReorder = 100 * kMs;          // a beat may come in before the changes that it knows of
+constexpr std::size_t kBatchBytes = 1100;     // of changes in a message, so that it is a datagram
+constexpr std::size_t kBeatBytes = 22;        // with the head
+constexpr double kBeatShare = 0.6;            // of the bytes that may be sent in the mean
+constexpr std::size_t kLogWorth = 64 * 1024;  // from here on a snapshot may be less than the changes
+constexpr Nanos kReportGap = 500 * kMs;       // between two reports that nobody has asked for
+constexpr Nanos kResend = 500 * kMs;          // sent changes that a report does not show by then are lost
+constexpr Nanos kInFlight = 250 * kMs;        // from sent changes to a report that would show them
+constexpr Nanos kReorder = 100 * kMs;         // messages may overtake each other by so much
+constexpr std::size_t kMostEarly = 64;        // messages of changes kept that came too early
 constexpr Nanos kAskGap = 250 * kMs, kOddGap = 1000 * kMs;
 constexpr Nanos kSlow = 2 * kSec, kMostSlow = 16 * kSec;  // behind without any progress: the parent is slow
 constexpr Nanos kServed = 1500 * kMs;  // from one question for pieces to the next of the same
-constexpr Nanos kStill = 500 * kMs;  // between two ticks: the process stood still
-// What a message is taken to have been on its way, at most. No clock tells, and without it news that goes round
-// between two that have each other as parents would stay as fresh as it was.
+constexpr Nanos kStill = 500 * kMs;    // between two ticks: the process stood still
+// What a message is taken to have been on its way, at most. No clock tells, and without it news that goes
+// round between two that have each other as parents would stay as fresh as it was.
 constexpr Nanos kOnTheWay = 100 * kMs;
 constexpr Nanos kDoubt = 500 * kMs;  // after that: what comes in may be as old
 
@@ -116,30 +118,36 @@
     const auto bytes = beatBytes(now);
     for (const auto& [name, child] : children.all()) word(name, bytes, now);
   }
+  // What follows on `from` up to `to` at most, as one message; false: the budget has to be waited for.
+  bool sendChanges(const std::string& name, std::uint64_t& from, std::uint64_t to, Nanos now) {
+    Changes changes;
+    changes.from = from;
+    std::size_t bytes = 0;
+    std::uint64_t at = from;
+    while (at < to) {
+      const auto& command = replica.commandAt(at + 1);
+      if (!changes.commands.empty() && bytes + command.size() > kBatchBytes) break;
+      bytes += command.size() + 3;
+      changes.commands.push_back(command);
+      ++at;
+    }
+    changes.digest = replica.digestAt(at);
+    if (!send(name, write(changes), Urgency::change, now)) return false;
+    from = at;
+    return true;
+  }
   void push(const std::string& name, Child& child, Nanos now) {
     while (child.onLog && child.sent < replica.position().number) {
       if (child.sent < replica.base()) {
         child.onLog = false;
         return;
       }
-      Changes changes;
-      changes.from = child.sent;
-      std::size_t bytes = 0;
-      std::uint64_t to = child.sent;
-      while (to < replica.position().number) {
-        const auto& command = replica.commandAt(to + 1);
-        if (!changes.commands.empty() && bytes + command.size() > kBatchBytes) break;
-        bytes += command.size() + 3;
-        changes.commands.push_back(command);
-        ++to;
-      }
-      changes.digest = replica.digestAt(to);
-      if (!send(name, write(changes), Urgency::change, now)) {
+      if (!sendChanges(name, child.sent, replica.position().number, now)) {
         counters.deferred += !child.waits;
         child.waits = true;
         return;
       }
-      child.sent = to, child.sentAt = now;
+      child.sentAt = now;
     }
     child.waits = false;
   }
@@ -156,7 +164,8 @@
   bool snapshotIsLess(const Child& child) const {
     const auto* frozen = replica.latestFrozen();
     const auto rest = replica.tailBytesFrom(child.sent);
-    return rest > kLogWorth && frozen && frozen->at > child.counts.at && frozen->at.number >= replica.base() &&
+    return rest > kLogWorth && frozen && frozen->at > child.counts.at &&
+           frozen->at.number >= replica.base() &&
            frozen->bytes.size() + replica.tailBytesFrom(frozen->at.number) < rest;
   }
   void offer(const std::string& name, Child& child, Nanos now) {
@@ -174,6 +183,7 @@
     const auto& at = child.counts.at;
     child.onLog = replica.onTail(at.number, child.digest) && !diverged;
     child.sent = at.number;
+    child.sentAt = 0;
     if (child.onLog && snapshotIsLess(child)) child.onLog = false;
     if (child.onLog) return push(name, child, now);
     const bool same = at == replica.position() && child.digest == replica.digest();
@@ -182,7 +192,8 @@
   void onReport(const std::string& from, const Report& r, Nanos now) {
     if (std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end()) return;
     if (r.flags & Report::kLook) {
-      const bool takes = children.find(from) || (children.hasRoom(tree, s.fanOut) && from != parents.parent());
+      const bool takes =
+          children.find(from) || (children.hasRoom(tree, s.fanOut) && from != parents.parent());
       return answer(from, takes ? beatBytes(now) : writeBare(Kind::refuse), now);
     }
     auto* child = children.find(from);
@@ -190,8 +201,9 @@
     if (fresh) {
       std::string turnedAway;
       const bool loop = !from.empty() && from == parents.parent();
-      const auto admitted = loop ? Children::Admission::refused
-                                 : children.admit(from, r.flags & Report::kUrgent, tree, s.fanOut, turnedAway);
+      const auto admitted = loop
+                                ? Children::Admission::refused
+                                : children.admit(from, r.flags & Report::kUrgent, tree, s.fanOut, turnedAway);
       if (admitted != Children::Admission::taken) ++counters.turnedAway;
       if (admitted == Children::Admission::refused) return answer(from, writeBare(Kind::refuse), now);
       if (admitted == Children::Admission::instead) word(turnedAway, writeBare(Kind::refuse), now);
@@ -202,8 +214,19 @@
     dirty = true;
     if (r.flags & Report::kSubscribe) word(from, beatBytes(now), now);
     const bool lost = r.number < child->sent && now - child->sentAt > kResend;
+    if (!fresh && child->onLog && replica.onTail(r.number, r.digest) && r.number < child->sent &&
+        !(r.flags & Report::kDiverged)) {
+      std::uint64_t at = r.number;
+      if ((r.flags & Report::kMissing) && r.early > at && r.early <= child->sent) {  // a hole
+        while (at < r.early && sendChanges(from, at, r.early, now)) {
+        }
+        return;
+      }
+      if (now - child->sentAt < kInFlight) return;  // on its way, for all that is known
+    }
     const bool waits = !child->onLog && now - child->offeredAt > Children::kRenew;
-    if (fresh || (r.flags & (Report::kSubscribe | Report::kMissing)) || waits || lost || r.number > child->sent)
+    if (fresh || (r.flags & (Report::kSubscribe | Report::kMissing)) || waits || lost ||
+        r.number > child->sent)
       settle(from, *child, r.flags & Report::kDiverged, now);
   }
   void onAsk(const std::string& from, const Ask& ask, Nanos now) {
@@ -238,9 +261,11 @@
     r.flags = flags;
     r.generation = replica.position().generation, r.number = replica.position().number;
     r.digest = replica.digest();
+    r.early = early.empty() ? 0 : early.begin()->first;
     r.members = below.members, r.level = below.level;
     r.lowGeneration = below.low.generation, r.lowNumber = below.low.number;
-    for (const auto& slow : below.slowest) r.slowest.emplace_back(slow.name, slow.at.generation, slow.at.number);
+    for (const auto& slow : below.slowest)
+      r.slowest.emplace_back(slow.name, slow.at.generation, slow.at.number);
     return r;
   }
   bool sendReport(const std::string& to, std::uint8_t flags, Nanos now, Kind kind = Kind::report) {
@@ -282,6 +307,7 @@
     if (parents.parent() != parentBefore) {
       parentBefore = parents.parent();
       word_.reset();
+      early.clear();
       behindSince = 0, parentNumber = 0;
       reportedAt = now;  // it has said all with its subscription
       dirty = true;
@@ -327,37 +353,47 @@
   }
   void onChanges(const std::string& from, const Changes& c, Nanos now) {
     if (!ofParent(from, now)) return stranger(from, now);
-    const auto number = replica.position().number;
-    if (c.from > number) {
-      ++counters.repeated;
+    if (c.from > replica.position().number) {
       if (behindSince == 0) behindSince = progressAt = now;
-      return missing(now);
+      if (early.size() >= kMostEarly || !early.try_emplace(c.from, c).second) ++counters.repeated;
+      return;
     }
+    bool advances = take(c, now);
+    while (advances && !early.empty() && early.begin()->first <= replica.position().number) {
+      const auto next = std::move(early.extract(early.begin()).mapped());
+      if (next.from + next.commands.size() > replica.position().number) take(next, now);
+    }
+    if (advances) advanced(now);
+  }
+  // Changes that go on from here, or from before.
+  bool take(const Changes& c, Nanos now) {
+    const auto number = replica.position().number;
     if (c.from + c.commands.size() <= number) {
       ++counters.repeated;
-      return;
+      return false;
     }
     std::vector<agreement::Command> commands;
     for (auto i = static_cast<std::size_t>(number - c.from); i < c.commands.size(); ++i) {
       auto command = agreement::readCommand(c.commands[i]);
       if (!command) {
         ++counters.broken;
-        return;
+        return false;
       }
       commands.push_back(std::move(*command));
     }
     if (!replica.apply(commands, c.digest)) {
       ++counters.diverged;
       mistrusts = true;
-      return missing(now);
+      early.clear();
+      missing(now);
+      return false;
     }
     counters.changesApplied += commands.size();
     mistrusts = false;
-    advanced(now);
+    return true;
   }
   void advanced(Nanos now) {
     progressAt = now;
-    slowAfter = kSlow;
     dirty = true;
     settleVouch();
     if (fetch && replica.position() >= Position{fetch->offer().generation, fetch->offer().number})
@@ -402,13 +438,15 @@
     auto bytes = fetch->bytes();
     fetch.reset();
     if (!wants(o)) return;
-    if (Replica::hashOf(bytes) != o.hash || !replica.restore(std::move(bytes), {o.generation, o.number}, o.hash)) {
+    if (Replica::hashOf(bytes) != o.hash ||
+        !replica.restore(std::move(bytes), {o.generation, o.number}, o.hash)) {
       ++counters.broken;
       return missing(now);
     }
     ++counters.snapshotsTaken;
     mistrusts = false;
     for (auto& [name, child] : children.all()) child.onLog = false;  // each is looked at anew as it reports
+    early.clear();
     askedAt = 0;
     advanced(now);
     missing(now);
@@ -426,7 +464,8 @@
     if (behindSince == 0 || parents.parent().empty()) return;
     const bool ahead = parentNumber > replica.position().number;
     const Nanos wait = ahead ? kReorder : 3 * kReorder, gap = ahead ? kAskGap : kOddGap;
-    if (now - behindSince >= wait && now - askedAt >= gap && !fetch) missing(now);
+    // Not as long as changes come in: what is on its way is not asked for.
+    if (now - std::max(behindSince, progressAt) >= wait && now - askedAt >= gap && !fetch) missing(now);
     if (!ahead || fetch || now - progressAt < slowAfter) return;
     slowAfter = std::min(kMostSlow, 2 * slowAfter);
     progressAt = now;
@@ -557,7 +596,8 @@
   Tree tree;
   Counters counters;
   std::optional<Fetch> fetch;
-  std::optional<std::vector<Peer>> view;  // not planned by yet
+  std::optional<std::vector<Peer>> view;      // not planned by yet
+  std::map<std::uint64_t, Changes> early;     // by the number before them; they wait for what is missing
   std::map<std::string, Counts> voterCounts;  // of the others, for the leader
   std::vector<Out> out;
   std::string leader, parentBefore;
@@ -577,8 +617,8 @@
 Disseminator::~Disseminator() = default;
 
 std::vector<Out> Disseminator::agreed(const agreement::Register& held,
-                                      const std::vector<agreement::Command>& applied, const std::string& leader,
-                                      Nanos now) {
+                                      const std::vector<agreement::Command>& applied,
+                                      const std::string& leader, Nanos now) {
   impl_->agreed(held, applied, leader, now);
   return impl_->sent();
 }
--- a/src/dissemination/fetch.cpp
+++ b/src/dissemination/fetch.cpp
@@ -68,7 +68,8 @@
 }
 
 bool Fetch::take(const std::string& from, Piece piece, Nanos now) {
-  if (piece.hash != offer_.hash || piece.number != offer_.number || piece.index >= pieces_.size()) return false;
+  if (piece.hash != offer_.hash || piece.number != offer_.number || piece.index >= pieces_.size())
+    return false;
   auto& place = pieces_[piece.index];
   const bool last = piece.index + 1 == pieces_.size();
   const std::size_t size = last ? offer_.size - piece.index * pieceBytes_ : pieceBytes_;
--- a/src/dissemination/fetch.hpp
+++ b/src/dissemination/fetch.hpp
@@ -1,7 +1,7 @@
 // A snapshot on its way to this member: asked for in runs of pieces of several members at once that have the
 // same one, so that no one's budget is all that there is. Whole or nothing.
-// Bounded by mostSnapshot (bytes come in as they are named, piece by piece), kAtOnce runs and kMostSources; it
-// is given up when nothing comes for kGivenUp.
+// Bounded by mostSnapshot (bytes come in as they are named, piece by piece), kAtOnce runs and kMostSources;
+// it is given up when nothing comes for kGivenUp.
 #pragma once
 
 #include <map>
@@ -37,9 +37,9 @@
 
   static constexpr Nanos kMs = 1'000'000;
   static constexpr Nanos kAnswerWithin = 500 * kMs;  // a piece asked for, else it is asked for again
-  static constexpr Nanos kBusy = 1000 * kMs;         // a source without bytes to spend is left alone, and longer
-  static constexpr Nanos kMostBusy = 8'000 * kMs;    // each time
-  static constexpr Nanos kWithout = 2000 * kMs;      // one that has not got it
+  static constexpr Nanos kBusy = 1000 * kMs;  // a source without bytes to spend is left alone, and longer
+  static constexpr Nanos kMostBusy = 8'000 * kMs;  // each time
+  static constexpr Nanos kWithout = 2000 * kMs;    // one that has not got it
   static constexpr Nanos kStuck = 2000 * kMs, kGivenUp = 30'000 * kMs;
   static constexpr std::size_t kAtOnce = 4, kMostSources = 48;
 
--- a/src/dissemination/messages.cpp
+++ b/src/dissemination/messages.cpp
@@ -16,9 +16,9 @@
 
 using BeatFields = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint16_t>;
 using ChangesFields = std::tuple<std::uint64_t, std::uint64_t, std::vector<std::string>>;
-using ReportFields =
-    std::tuple<std::uint8_t, std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t,
-               std::uint64_t, std::uint64_t, std::vector<std::tuple<std::string, std::uint64_t, std::uint64_t>>>;
+using ReportFields = std::tuple<std::uint8_t, std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t,
+                                std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t,
+                                std::vector<std::tuple<std::string, std::uint64_t, std::uint64_t>>>;
 using OfferFields = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t>;
 using AskFields = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
 using PieceFields = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t, std::string>;
@@ -62,8 +62,8 @@
   return frame(Kind::changes, ChangesFields(m.from, m.digest, m.commands));
 }
 std::string write(const Report& m, Kind kind) {
-  return frame(kind, ReportFields(m.flags, m.generation, m.number, m.digest, m.members, m.lowGeneration,
-                                  m.lowNumber, m.level, m.slowest));
+  return frame(kind, ReportFields(m.flags, m.generation, m.number, m.digest, m.early, m.members,
+                                  m.lowGeneration, m.lowNumber, m.level, m.slowest));
 }
 std::string write(const Offer& m) {
   return frame(Kind::offer, OfferFields(m.generation, m.number, m.digest, m.hash, m.size));
@@ -91,9 +91,10 @@
 
 std::optional<Report> readReport(std::string_view bytes) {
   auto f = fields<ReportFields>(bytes, kMostName);
-  if (!f || std::get<8>(*f).size() > kSlowest) return std::nullopt;
-  return Report{std::get<0>(*f), std::get<1>(*f), std::get<2>(*f), std::get<3>(*f), std::get<4>(*f),
-                std::get<5>(*f), std::get<6>(*f), std::get<7>(*f), std::move(std::get<8>(*f))};
+  if (!f || std::get<9>(*f).size() > kSlowest) return std::nullopt;
+  return Report{std::get<0>(*f), std::get<1>(*f),           std::get<2>(*f), std::get<3>(*f),
+                std::get<4>(*f), std::get<5>(*f),           std::get<6>(*f), std::get<7>(*f),
+                std::get<8>(*f), std::move(std::get<9>(*f))};
 }
 
 std::optional<Offer> readOffer(std::string_view bytes) {
--- a/src/dissemination/messages.hpp
+++ b/src/dissemination/messages.hpp
@@ -26,8 +26,8 @@
 
 struct Beat {
   std::uint64_t number = 0;
-  std::uint32_t mark = 0;  // short hash of position and digest: the same, or ask
-  std::uint32_t age = 0;   // in kAgeUnit; kNever
+  std::uint32_t mark = 0;   // short hash of position and digest: the same, or ask
+  std::uint32_t age = 0;    // in kAgeUnit; kNever
   std::uint16_t every = 0;  // in kAgeUnit: when the next is due
   static constexpr std::uint32_t kNever = 0xffffffff;
 };
@@ -43,6 +43,8 @@
   static constexpr std::uint8_t kSubscribe = 1, kMissing = 2, kLook = 4, kUrgent = 8, kDiverged = 16;
   std::uint8_t flags = 0;
   std::uint64_t generation = 0, number = 0, digest = 0;
+  std::uint64_t early =
+      0;  // with kMissing: it has changes that go on from here, which came too early; 0: none
   std::uint64_t members = 0, lowGeneration = 0, lowNumber = 0, level = 0;
   std::vector<std::tuple<std::string, std::uint64_t, std::uint64_t>> slowest;  // name, generation, number
 };
--- a/src/dissemination/parents.hpp
+++ b/src/dissemination/parents.hpp
@@ -1,8 +1,8 @@
 // Whom this member has its news from: one parent of the tree's candidates, left for the next one when it is
-// silent, turns this one away, is slow, or has stale news while another has fresher. Pure: words and `now` in,
-// words to be sent out.
-// Bounded by the candidates; who did not answer is avoided for a while, then forgotten. Where nobody has
-// anything fresher, the tries wait longer and longer, with jitter, up to kMostWait.
+// silent, turns this one away, is slow, or has stale news while another has fresher. Pure: words and `now`
+// in, words to be sent out. Bounded by the candidates; who did not answer is avoided for a while, then
+// forgotten. Where nobody has anything fresher, the tries wait longer and longer, with jitter, up to
+// kMostWait.
 #pragma once
 
 #include <map>
@@ -31,8 +31,8 @@
   Words tick(Nanos now);
   // Anything that a parent says to a child. False: of nobody whose words count.
   bool heard(const std::string& from, Nanos now, Words& words);
-  // A beat, of the parent or of one that was looked at. `age` of its news, or kNeverVouched; `every`: until its
-  // next. True: it is of the parent.
+  // A beat, of the parent or of one that was looked at. `age` of its news, or kNeverVouched; `every`: until
+  // its next. True: it is of the parent.
   bool beat(const std::string& from, Nanos age, Nanos every, Nanos now, Words& words);
   void refused(const std::string& from, Nanos now, Words& words);
   void leave(Nanos now, Words& words, Nanos avoid);  // the parent is silent, gone or slow
@@ -43,14 +43,15 @@
   std::uint64_t left() const { return left_; }
 
   static constexpr Nanos kMs = 1'000'000, kSec = 1000 * kMs;
-  static constexpr Nanos kAnswerWithin = 250 * kMs;     // a subscription or a look
-  static constexpr std::size_t kRefusals = 3;           // from then on it takes what room there is
-  static constexpr Nanos kMostWait = 3 * kSec;          // between tries
-  static constexpr Nanos kAvoided = 10 * kSec;          // one that did not answer
-  static constexpr Nanos kFresher = 500 * kMs;          // news worth a change of the parent
-  static constexpr Nanos kPatience = 300 * kMs;         // a level: those above look first
-  static constexpr std::size_t kLooks = 3;              // at a time
-  static constexpr std::size_t kVotersLook = 4;  // of so many looks one goes to voters, where relays are there
+  static constexpr Nanos kAnswerWithin = 250 * kMs;  // a subscription or a look
+  static constexpr std::size_t kRefusals = 3;        // from then on it takes what room there is
+  static constexpr Nanos kMostWait = 3 * kSec;       // between tries
+  static constexpr Nanos kAvoided = 10 * kSec;       // one that did not answer
+  static constexpr Nanos kFresher = 500 * kMs;       // news worth a change of the parent
+  static constexpr Nanos kPatience = 300 * kMs;      // a level: those above look first
+  static constexpr std::size_t kLooks = 3;           // at a time
+  static constexpr std::size_t kVotersLook =
+      4;  // of so many looks one goes to voters, where relays are there
 
  private:
   Nanos parentAge(Nanos now) const;
--- a/src/dissemination/replica.hpp
+++ b/src/dissemination/replica.hpp
@@ -1,7 +1,7 @@
-// The register as this member holds it, with a bounded tail of the log that led to it, a digest of its content
-// and snapshots for those whom the tail doesn't reach.
-// Bounded by the register's own limits, tailChanges and tailBytes, and two snapshots; the tail shrinks from its
-// old end, the older snapshot goes once nobody has asked for it for a while.
+// The register as this member holds it, with a bounded tail of the log that led to it, a digest of its
+// content and snapshots for those whom the tail doesn't reach. Bounded by the register's own limits,
+// tailChanges and tailBytes, and two snapshots; the tail shrinks from its old end, the older snapshot goes
+// once nobody has asked for it for a while.
 #pragma once
 
 #include <cstdint>
@@ -73,7 +73,7 @@
   std::uint64_t digest_ = 0, base_ = 0, baseDigest_ = 0;
   std::uint32_t mark_ = 0;
   std::deque<Change> tail_;
-  std::size_t bytes_ = 0;  // of all changes since the start
+  std::size_t bytes_ = 0;      // of all changes since the start
   std::deque<Frozen> frozen_;  // at most two, the latest last
   Nanos madeAt_ = 0;
 };
--- a/src/dissemination/tree.cpp
+++ b/src/dissemination/tree.cpp
@@ -156,8 +156,7 @@
     };
     if (out.level < out.top) rendezvous(s.self, levelNames(out.level + 1), kMostPreferred, out.candidates);
     out.preferred = out.candidates.size();
-    if (out.level + 1 < out.top)
-      rendezvous(s.self, levelNames(out.level + 2), kMostSecond, out.candidates);
+    if (out.level + 1 < out.top) rendezvous(s.self, levelNames(out.level + 2), kMostSecond, out.candidates);
     votersToo();
     if (out.level == out.top) out.preferred = out.candidates.size();
     if (out.level > 0) {
