--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -480,6 +480,7 @@
     tree = Tree::of(s, std::move(*view));
     view.reset();
     if (!s.votes) parents.plan(tree, now);
+    if (fetch) fetch->mayHaveIt(tree.sources);
   }
   InForce inForce() const {
     static const std::map<std::string, Counts> kNone;
--- a/src/dissemination/disseminator.hpp
+++ b/src/dissemination/disseminator.hpp
@@ -30,7 +30,7 @@
   std::vector<std::string> voters;  // names; none: nothing is disseminated
   std::vector<std::string>
       relays;              // names of those that alone relay while any of them is there; none: members do
-  std::size_t fanOut = 6;  // children of a voter or relay as planned; at most twice as many are taken
+  std::size_t fanOut = 5;  // children of a voter or relay as planned; at most twice as many are taken
   Nanos beatEvery = 250'000'000;     // between two words of a parent
   Nanos silentAfter = 800'000'000;   // without a word a parent is left for the next one
   Nanos staleAfter = 2'000'000'000;  // age of its news from which one with fresher news is looked for
--- a/src/dissemination/fetch.cpp
+++ b/src/dissemination/fetch.cpp
@@ -9,6 +9,10 @@
   const std::size_t count = (offer.size + pieceBytes - 1) / pieceBytes;
   pieces_.resize(count);
   askedAt_.resize(count, 0);
+  mayHaveIt(sources);
+}
+
+void Fetch::mayHaveIt(const std::vector<std::string>& sources) {
   for (const auto& name : sources) {
     if (sources_.size() >= kMostSources) break;
     if (!find(name)) sources_.push_back({name});
@@ -44,7 +48,7 @@
   std::uint32_t count = 0;
   while (first + count < pieces_.size() && count < Ask::kMostCount && free(first + count))
     askedAt_[first + count++] = now;
-  source.askedAt = now, source.open = count;
+  source.askedAt = now, source.open = count, source.got = 0;
   out.push_back({source.name,
                  {offer_.number, offer_.hash, static_cast<std::uint32_t>(pieceBytes_),
                   static_cast<std::uint32_t>(first), count}});
@@ -55,7 +59,10 @@
   Questions out;
   std::size_t open = 0;
   for (auto& s : sources_) {
-    if (s.open > 0 && now - s.askedAt >= kAnswerWithin) leaveAlone(s, now);
+    if (s.open > 0 && now - s.askedAt >= kAnswerWithin) {
+      if (s.got == 0) leaveAlone(s, now);
+      s.open = 0;  // a piece was lost
+    }
     open += s.open > 0;
   }
   for (std::size_t i = 0; i < sources_.size() && open < kAtOnce; ++i) {
@@ -80,6 +87,7 @@
   auto* source = find(from);
   if (source) {
     source->wait = kBusy;
+    ++source->got;
     if (source->open > 0) --source->open;
   }
   return true;
--- a/src/dissemination/fetch.hpp
+++ b/src/dissemination/fetch.hpp
@@ -26,6 +26,7 @@
 
   const Offer& offer() const { return offer_; }
   void hasIt(const std::string& source);  // goes first
+  void mayHaveIt(const std::vector<std::string>& sources);
   Questions tick(Nanos now);
   // False: known already, or not of this snapshot.
   bool take(const std::string& from, Piece piece, Nanos now);
@@ -47,7 +48,7 @@
   struct Source {
     std::string name;
     Nanos askedAt = 0, notBefore = 0, wait = kBusy;
-    std::uint32_t open = 0;  // pieces asked of it that are still to come
+    std::uint32_t open = 0, got = 0;  // pieces asked of it that are still to come, and that have
   };
   static void leaveAlone(Source& source, Nanos now);
   bool askOf(Source& source, Nanos now, Questions& out);
