--- a/src/dissemination/fetch.hpp
+++ b/src/dissemination/fetch.hpp
@@ -1,7 +1,7 @@
 // A snapshot on its way to this member: asked for in runs of pieces of several members at once that have the
 // same one, so that no one's budget is all that there is. Whole or nothing.
-// Bounded by mostSnapshot (bytes come in as they are named, piece by piece), kAtOnce runs and kMostSources; it
-// is given up when nothing comes for kGivenUp.
+// Bounded by mostSnapshot (bytes come in as they are named, piece by piece), kAtOnce runs and kMostSources;
+// it is given up when nothing comes for kGivenUp.
 #pragma once
 
 #include <map>
@@ -26,6 +26,7 @@
 
   const Offer& offer() const { return offer_; }
   void hasIt(const std::string& source);  // goes first
+  void mayHaveIt(const std::vector<std::string>& sources);
   Questions tick(Nanos now);
   // False: known already, or not of this snapshot.
   bool take(const std::string& from, Piece piece, Nanos now);
@@ -37,9 +38,9 @@
 
   static constexpr Nanos kMs = 1'000'000;
   static constexpr Nanos kAnswerWithin = 500 * kMs;  // a piece asked for, else it is asked for again
-  static constexpr Nanos kBusy = 1000 * kMs;         // a source without bytes to spend is left alone, and longer
-  static constexpr Nanos kMostBusy = 8'000 * kMs;    // each time
-  static constexpr Nanos kWithout = 2000 * kMs;      // one that has not got it
+  static constexpr Nanos kBusy = 1000 * kMs;  // a source without bytes to spend is left alone, and longer
+  static constexpr Nanos kMostBusy = 8'000 * kMs;  // each time
+  static constexpr Nanos kWithout = 2000 * kMs;    // one that has not got it
   static constexpr Nanos kStuck = 2000 * kMs, kGivenUp = 30'000 * kMs;
   static constexpr std::size_t kAtOnce = 4, kMostSources = 48;
 
@@ -47,7 +48,7 @@
   struct Source {
     std::string name;
     Nanos askedAt = 0, notBefore = 0, wait = kBusy;
-    std::uint32_t open = 0;  // pieces asked of it that are still to come
+    std::uint32_t open = 0, got = 0;  // pieces asked of it that are still to come, and that have
   };
   static void leaveAlone(Source& source, Nanos now);
   bool askOf(Source& source, Nanos now, Questions& out);
