--- a/src/lab/virtual_changes.hpp
+++ b/src/lab/virtual_changes.hpp
@@ -143,7 +143,8 @@
     for (int i = 0; i < options_.voters; ++i) start(i);
   }
   const agreement::Register& truth() const { return truth_; }
-  std::uint64_t logged() const { return log_.size(); }
+  const std::vector<agreement::Command>& log() const { return log_; }
+  void sendAs(int i, dissemination::Out out) { carry(i, {std::move(out)}); }
 
   Member& at(int i) { return members_[static_cast<std::size_t>(i)]; }
   const Member& at(int i) const { return members_[static_cast<std::size_t>(i)]; }
--- a/tests/dissemination_test.cpp
+++ b/tests/dissemination_test.cpp
@@ -2,6 +2,7 @@
 // seeded mistake of each kind that the checker must find, broken bytes, and the fleet at its size.
 #include <cmath>
 #include <cstring>
+#include <memory>
 
 #include "check.hpp"
 #include "dissemination/messages.hpp"
@@ -226,6 +227,253 @@
   CHECK(bad == 0);
 }
 
+// ---- Mistakes that are seeded: the checker must find each of them.
+
+// A small fleet, half a minute of changes, then all that the checker says.
+std::set<std::string> foundIn(const std::function<void(VirtualChanges&, Checker&)>& mistake,
+                              const std::function<void(VirtualChanges&)>& midway = nullptr) {
+  VirtualChanges::Options o;
+  o.members = 12, o.zones = 2, o.regions = 2, o.seed = 5;
+  o.settings.fanOut = 2, o.settings.snapshotEvery = 8, o.settings.tailChanges = 32;
+  VirtualChanges w(o);
+  Checker checker(w, true);
+  w.startAll();
+  w.run(2 * kSec);
+  begin(w, 1);
+  mistake(w, checker);
+  for (int step = 0; step < 30; ++step) {
+    w.propose(drawnChange(w, 10, 40));
+    w.run(kSec);
+    if (step == 15 && midway) midway(w);
+  }
+  checker.untilLevel(20 * kSec);
+  checker.atTheEnd();
+  return checker.violations;
+}
+
+// What member 7 seems to hold is what it would, had it made the mistake, from the twelfth change on.
+void seemsToHold(VirtualChanges& w, Checker& checker,
+                 std::function<agreement::Register(const std::vector<agreement::Command>&)> made) {
+  const auto shown = std::make_shared<agreement::Register>();
+  checker.seeded = [&w, shown, made = std::move(made)](int i) -> const agreement::Register* {
+    if (i != 7 || w.at(7).node->held().commands() < 12) return nullptr;
+    const auto has = w.at(7).node->held().commands();
+    *shown = made({w.log().begin(), w.log().begin() + static_cast<std::ptrdiff_t>(has)});
+    return shown.get();
+  };
+}
+
+void seededMistakesAreFound() {
+  using Log = std::vector<agreement::Command>;
+  const auto apply = [](const Log& log) {
+    agreement::Register r;
+    for (const auto& c : log) r.apply(c);
+    return r;
+  };
+  const auto holds = [&](std::function<agreement::Register(Log)> made) {
+    return foundIn([&](VirtualChanges& w, Checker& checker) { seemsToHold(w, checker, made); });
+  };
+  const auto has = [](const std::set<std::string>& found, const char* what) {
+    for (const auto& f : found)
+      if (f.find(what) != std::string::npos) return true;
+    std::fprintf(stderr, "not found: %s\n", what);
+    return false;
+  };
+  const char* kNoPrefix = "not what was agreed on";
+
+  CHECK(foundIn([](VirtualChanges&, Checker&) {}).empty());
+
+  // One is left out, its number counted.
+  CHECK(has(holds([&](Log log) {
+              log[9] = {"", {}, 0};
+              return apply(log);
+            }),
+            kNoPrefix));
+  // One applied twice, one after the other.
+  CHECK(has(holds([&](Log log) {
+              const auto twice = log[5];
+              log.insert(log.begin() + 5, twice);
+              return apply(log);
+            }),
+            kNoPrefix));
+  // Two in the other order.
+  CHECK(has(holds([&](Log log) {
+              std::swap(log[7], log[8]);
+              return apply(log);
+            }),
+            kNoPrefix));
+  // Half a batch: the latest ones counted, not done.
+  CHECK(has(holds([&](Log log) {
+              for (std::size_t i = log.size() - 2; i < log.size(); ++i) log[i] = {"", {}, 0};
+              return apply(log);
+            }),
+            kNoPrefix));
+  // An older snapshot put in place of what is there: a state that was agreed on, but earlier.
+  CHECK(has(holds([&](Log log) {
+              if (log.size() % 8 == 0) log.resize(log.size() / 2);
+              return apply(log);
+            }),
+            "went back"));
+  // The budget passed over: each message of one member many times.
+  {
+    bool again = false;
+    CHECK(has(foundIn([&](VirtualChanges& w, Checker&) {
+                w.sending = [&w, &again](int from, dissemination::Out& o) {
+                  if (from == 0 && !again) {
+                    again = true;
+                    for (int i = 0; i < 100; ++i) w.sendAs(from, {o.to, std::string(1200, 'x')});
+                    again = false;
+                  }
+                  return true;
+                };
+              }),
+              "more sent in a minute"));
+    CHECK(has(foundIn([&](VirtualChanges& w, Checker&) {
+                w.sending = [&w, &again](int from, dissemination::Out& o) {
+                  if (from == 4 && !again && w.now % 7 == 0) {
+                    again = true;
+                    for (int i = 0; i < 100; ++i) w.sendAs(from, {o.to, std::string(1200, 'x')});
+                    again = false;
+                  }
+                  return true;
+                };
+              }),
+              "more sent at once"));
+  }
+  // One counted twice, in what its parent is told.
+  CHECK(has(foundIn([](VirtualChanges& w, Checker&) {
+              w.sending = [](int from, dissemination::Out& o) {
+                if (from != 9 || dissemination::kindOf(o.bytes) != dissemination::Kind::report) return true;
+                auto r = *dissemination::readReport(o.bytes);
+                ++r.members, ++r.level;
+                o.bytes = dissemination::write(r);
+                return true;
+              };
+            }),
+            "counts are not"));
+  // A change that never comes to one.
+  CHECK(has(foundIn([](VirtualChanges& w, Checker&) {
+              w.sending = [](int, dissemination::Out& o) {
+                const auto kind = dissemination::kindOf(o.bytes);
+                return o.to != "m6" ||
+                       (kind != dissemination::Kind::changes && kind != dissemination::Kind::piece);
+              };
+            }),
+            "not everyone has everything"));
+  // Too many children.
+  CHECK(has(foundIn([](VirtualChanges&, Checker& c) { c.extraChildren = 5; }), "more children"));
+  // A beat that says that its news is fresh, in a region that is cut off.
+  CHECK(has(foundIn(
+                [](VirtualChanges& w, Checker&) {
+                  w.sending = [](int from, dissemination::Out& o) {
+                    if (from % 2 == 0 || dissemination::kindOf(o.bytes) != dissemination::Kind::beat)
+                      return true;
+                    auto b = *dissemination::readBeat(o.bytes);
+                    b.age = 0;
+                    o.bytes = dissemination::write(b);
+                    return true;
+                  };
+                },
+                [](VirtualChanges& w) {
+                  w.cut = [](int a, int b) { return a % 2 != b % 2; };
+                  w.viewChanged();
+                  w.run(10 * kSec);
+                }),
+            "an age that"));
+  std::puts("seeded mistakes: each was found");
+}
+
+// ---- Bytes that nobody of the fleet has written.
+
+void brokenBytesChangeNothing(std::uint64_t seed) {
+  VirtualChanges::Options o;
+  o.members = 8, o.seed = seed;
+  o.settings.fanOut = 2, o.settings.snapshotEvery = 8, o.settings.tailChanges = 16,
+  o.settings.pieceBytes = 100;
+  VirtualChanges w(o);
+  Checker checker(w, true);
+  std::vector<std::string> genuine;
+  w.sending = [&](int, dissemination::Out& out) {
+    if (genuine.size() < 4000) genuine.push_back(out.bytes);
+    return true;
+  };
+  w.startAll();
+  w.run(2 * kSec);
+  begin(w, 1);
+  for (int i = 0; i < 30; ++i) {
+    w.propose(drawnChange(w, 10, 40));
+    w.run(300 * kMs);
+    if (i == 15) w.start(6);  // with a snapshot on its way
+  }
+  CHECK(checker.untilLevel(30 * kSec));
+  std::mt19937_64 r(seed);
+  std::uint64_t broken = 0, fed = 0;
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes;
+    if (i % 4 == 0) {  // anything
+      bytes.resize(r() % 200);
+      for (auto& c : bytes) c = static_cast<char>(r());
+      if (!bytes.empty()) bytes[0] = static_cast<char>(r() % 12);
+    } else {  // one of theirs with a bit changed, an end cut off or a piece doubled
+      bytes = genuine[r() % genuine.size()];
+      if (i % 4 == 1) bytes[r() % bytes.size()] ^= static_cast<char>(1u << (r() % 8));
+      if (i % 4 == 2) bytes.resize(r() % bytes.size());
+      if (i % 4 == 3) bytes += bytes;
+    }
+    const int to = static_cast<int>(r() % 8);
+    const int from = static_cast<int>(r() % 8);
+    auto& node = *w.at(to).node;
+    const auto before = node.position();
+    const auto counted = node.counters().broken;
+    node.received(i % 16 == 5 ? "nobody" : w.at(from).name, bytes, w.now);
+    CHECK(node.position() == before);
+    broken += node.counters().broken - counted;
+    ++fed;
+  }
+  CHECK(broken == fed);
+  // Whole messages with a right checksum, of other fields: nothing thrown, and nothing applied that isn't the
+  // fleet's.
+  for (int i = 0; i < 20000; ++i) {
+    const auto any = [&] { return r() % 3 ? r() % 64 : r(); };
+    dissemination::Changes c{any(), any(), {}};
+    for (std::uint64_t k = r() % 4 + 1; k-- > 0;)
+      c.commands.push_back(r() % 2 ? std::string(r() % 20, static_cast<char>(r()))
+                                   : agreement::writeCommand({"key/1", "x", any()}));
+    dissemination::Report report;
+    report.flags = static_cast<std::uint8_t>(r()), report.number = any(), report.digest = any();
+    report.generation = any(), report.members = any(), report.level = any(), report.early = any();
+    report.slowest = {{std::string(r() % 300, 'n'), any(), any()}};
+    const std::string all[] = {
+        dissemination::write(c),
+        dissemination::write(report),
+        dissemination::write(report, dissemination::Kind::counts),
+        dissemination::write(dissemination::Beat{any(), static_cast<std::uint32_t>(r()),
+                                                 static_cast<std::uint32_t>(any()),
+                                                 static_cast<std::uint16_t>(r())}),
+        dissemination::write(dissemination::Offer{any(), any(), any(), any(), any()}),
+        dissemination::write(dissemination::Ask{any(), any(), static_cast<std::uint32_t>(any()),
+                                                static_cast<std::uint32_t>(any()),
+                                                static_cast<std::uint32_t>(any())}),
+        dissemination::write(dissemination::Piece{any(), any(), static_cast<std::uint32_t>(any()),
+                                                  std::string(r() % 300, 'p')}),
+        dissemination::write(dissemination::Nothing{any(), r() % 2 == 0})};
+    const int to = static_cast<int>(r() % 8);
+    auto& node = *w.at(to).node;
+    const auto before = node.held();
+    const auto& from = i % 2 && !node.parent().empty() ? node.parent() : w.at(static_cast<int>(r() % 8)).name;
+    for (const auto& out : node.received(std::string(from), all[r() % 8], w.now))
+      CHECK(out.bytes.size() <= dissemination::kMostMessage);
+    if (i % 100 == 0) w.run(50 * kMs);
+    CHECK(i % 100 == 0 || node.held() == before);
+  }
+  w.run(60 * kSec);
+  w.propose(put(w.truth(), "last", "x"));
+  CHECK(checker.untilLevel(400 * kSec));
+  checker.atTheEnd();
+  for (const auto& what : checker.violations) std::fprintf(stderr, "%s\n", what.c_str());
+  CHECK(checker.violations.empty());
+}
+
 // ---- The fleet at its size.
 
 double percentile(std::vector<double> values, double p) {
@@ -451,7 +699,11 @@
 int main(int count, char** words) {
   using namespace topazweir::test;
   const Seeds seeds(count, words, 200);
-  if (count <= 3) schedules(seeds.first, seeds.last);
+  if (count <= 3) {
+    seededMistakesAreFound();
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) brokenBytesChangeNothing(seed);
+    schedules(seeds.first, seeds.last);
+  }
   const int members = count > 3 ? std::atoi(words[3]) : 2000;
   if (members > 0) atItsSize(members, 1);
   if (members > 0) aMemberBack(60, 9900, 1);
