Side takes a proposal

Streams count connections and bytes, which were counted for datagrams alone. A claim is over with its own outcome, no longer with any.

--- a/src/fleet/council.cpp
+++ b/src/fleet/council.cpp
@@ -57,7 +57,7 @@
 }
 
 std::vector<Council::Out> Council::carry(agreement::Voter::Step step) {
-  if (!step.outcomes.empty()) claiming_ = false;
+  for (const auto& outcome : step.outcomes) claiming_ = claiming_ && outcome.token != claims_;
   std::vector<Out> out;
   for (auto& message : step.out) out.push_back({names_[message.to - 1], mark_ + message.bytes});
   return out;
@@ -75,6 +75,14 @@
   for (auto& message : carry(std::move(*step))) out.push_back(std::move(message));
 }
 
+bool Council::propose(const agreement::Command& command, Nanos now, std::vector<Out>& out) {
+  constexpr std::uint64_t kNoClaim = 0;
+  auto step = voter_->leads() ? voter_->propose(command, kNoClaim, now) : std::nullopt;
+  if (!step) return false;
+  out = carry(std::move(*step));
+  return true;
+}
+
 std::vector<Council::Out> Council::tick(Nanos now) {
   auto out = carry(voter_->tick(now));
   claim(now, out);
--- a/src/fleet/council.hpp
+++ b/src/fleet/council.hpp
@@ -30,6 +30,8 @@
   // Of another voter. Bytes that are none, or of voters that are configured otherwise, are passed over:
   // false.
   bool received(const std::string& from, std::string_view bytes, Nanos now, std::vector<Out>& out);
+  // False: this voter does not lead. Whether it was done, the register shows.
+  bool propose(const agreement::Command& command, Nanos now, std::vector<Out>& out);
 
   std::string leader() const;  // empty: not known
   bool leads() const { return voter_->leads(); }
--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -227,6 +227,14 @@
   lookAtRegister();
 }
 
+bool Side::propose(const agreement::Command& command) {
+  std::vector<Council::Out> out;
+  if (!council_ || !council_->propose(command, loop_.now(), out)) return false;
+  tell(out);
+  lookAtRegister();
+  return true;
+}
+
 std::string Side::answerTo(const membership::Message& question) {
   if (!council_) return {};
   membership::Message answer{.kind = membership::Kind::followReply, .sender = config_.name};
--- a/src/fleet/side.hpp
+++ b/src/fleet/side.hpp
@@ -50,6 +50,11 @@
   void leave();  // in order; says nothing afterwards
   void stop();   // says nothing more: a younger process speaks for this aggregator
 
+  // A change of the register, where this is the voter that leads; false elsewhere.
+  bool propose(const agreement::Command& command);
+  // Commands in the register as it is held here.
+  std::uint64_t commands() const { return council_ || follower_ ? held().commands() : 0; }
+
   // Calls of operators: "members", "members explain NAME", "members register". None: the line is another
   // call.
   std::optional<std::string> answer(std::string_view line) const;
@@ -58,6 +63,7 @@
   membership::Standing standing() const { return standing_; }
   const Council* council() const { return council_ ? &*council_ : nullptr; }  // none: it is no voter
   const Counters& counters() const { return counters_; }
+  const Streams* streams() const { return streams_ ? &*streams_ : nullptr; }  // none: it does not listen
   std::string print() const;  // counters, as "name value" lines
 
  private:
--- a/src/fleet/streams.cpp
+++ b/src/fleet/streams.cpp
@@ -34,6 +34,7 @@
   auto& exchange = exchanges_[connection.get()];
   exchange.connection = std::move(connection);
   exchange.asked = asked, exchange.since = loop_.now();
+  ++(asked ? counters_.connected : counters_.accepted);
   return exchange;
 }
 
@@ -51,18 +52,19 @@
 }
 
 void Streams::ask(const Poco::Net::SocketAddress& to, std::string_view message) {
-  if (count(true) >= kMostAsked) return;
+  if (count(true) >= kMostAsked) return void(++counters_.leftOut);
   keep(net::Connection::connect(loop_, to, kConnect, *this), true).question = framed(message);
 }
 
 void Streams::tell(const Poco::Net::SocketAddress& to, std::string_view message) {
-  if (count(true) >= kMostAsked) return;
+  if (count(true) >= kMostAsked) return void(++counters_.leftOut);
   auto& exchange = keep(net::Connection::connect(loop_, to, kConnect, *this), true);
   exchange.told = true, exchange.question = framed(message);
 }
 
 void Streams::onUp(net::Connection& connection) {
   const auto at = exchanges_.find(&connection);
+  counters_.sentBytes += at->second.question.size();
   connection.write(std::move(at->second.question));
   if (!at->second.told) return;
   connection.closeGently();  // it keeps itself until the peer has read all
@@ -73,6 +75,7 @@
   const auto at = exchanges_.find(&connection);
   if (at == exchanges_.end()) return;
   auto& exchange = at->second;
+  counters_.receivedBytes += connection.input().size();
   exchange.input += std::exchange(connection.input(), {});
   connection.resume();
   const auto length = lengthOf(exchange.input);
@@ -87,7 +90,10 @@
     return taken_(message);
   }
   const auto reply = answer_(message);
-  if (!reply.empty()) whole.connection->write(framed(reply));
+  if (!reply.empty()) {
+    counters_.sentBytes += kFrameHead + reply.size();
+    whole.connection->write(framed(reply));
+  }
   whole.connection->closeGently();
 }
 
--- a/src/fleet/streams.hpp
+++ b/src/fleet/streams.hpp
@@ -25,6 +25,11 @@
   void ask(const Poco::Net::SocketAddress& to, std::string_view message);
   void tell(const Poco::Net::SocketAddress& to, std::string_view message);  // no reply is waited for
   std::uint64_t broken() const { return broken_; }  // ended before the message was whole
+  struct Counters {
+    std::uint64_t connected = 0, accepted = 0, leftOut = 0;  // connections; asked for over kMostAsked
+    std::uint64_t sentBytes = 0, receivedBytes = 0;          // with their frames
+  };
+  const Counters& counters() const { return counters_; }
 
   static constexpr std::size_t kMostAsked = 16, kMostAsking = 32;  // connections
   static constexpr Nanos kTime = 5'000'000'000;                    // for an exchange
@@ -51,6 +56,7 @@
   net::Listener listener_;
   std::map<net::Connection*, Exchange> exchanges_;
   std::uint64_t broken_ = 0;
+  Counters counters_;
   net::Loop::TimerId sweepTimer_{};
 };
 
