--- a/src/lab/scale/main.cpp
+++ b/src/lab/scale/main.cpp
@@ -1,2 +1,87 @@
-#include "lab/scale/fit.hpp"
-int main() { return topazweir::lab::scale::fitLine({1, 2, 3}, {2, 4, 6}).slope > 1.9 ? 0 : 1; }
+// What the control of a fleet costs by its size: one command a table, docs/results/scale.md. Ends non-zero
+// when a stated claim does not hold or a slope is not understood.
+#include <CLI/CLI.hpp>
+#include <exception>
+
+#include "lab/scale/hollow.hpp"
+#include "lab/scale/pure_slopes.hpp"
+#include "lab/scale/report.hpp"
+#include "lab/scale/socket_runs.hpp"
+
+using namespace topazweir::lab::scale;
+
+namespace {
+
+void sizesOf(CLI::App* command, RunOptions& options) {
+  command->add_option("--sizes", options.sizes, "members, fitted")->delimiter(',')->capture_default_str();
+  command->add_option("--largest", options.largest, "members, compared with the prediction; 0: none")
+      ->capture_default_str();
+  command->add_option("--period", options.periodSeconds, "seconds between two probes of a member")
+      ->capture_default_str();
+  command->add_option("--keys", options.keys, "of the register")->capture_default_str();
+  command->add_option("--per-process", options.perProcess, "members in one process")->capture_default_str();
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  CLI::App app("What the control of a fleet costs by its size", "topazweir_scale");
+  app.require_subcommand(1);
+  app.add_subcommand("register", "by keys: an answer to a follower, a snapshot, a change at a voter")
+      ->callback(registerSlopes);
+  app.add_subcommand("exchange", "by members: a full exchange")->callback(exchangeSlopes);
+  app.add_subcommand("looks", "by members: a tick and what is looked through at each")
+      ->callback(detectorCosts);
+
+  RunOptions detector{
+      .sizes = {125, 250, 500, 1000}, .largest = 2000, .largestPeriodSeconds = 2, .keys = 100};
+  auto* command = app.add_subcommand("detector", "hollow members at rest over sockets, and one killed");
+  sizesOf(command, detector);
+  command->add_option("--largest-period", detector.largestPeriodSeconds, "of the largest; 0: the same")
+      ->capture_default_str();
+  command->callback([&] { detectorRun(detector); });
+
+  RunOptions change{.sizes = {60, 125, 250}, .largest = 500};
+  command = app.add_subcommand("change", "a change's way from decision to in force at the last member");
+  sizesOf(command, change);
+  command->add_option("--changes", change.changes)->capture_default_str();
+  command->add_option("--every", change.changeSeconds, "seconds between two")->capture_default_str();
+  command->callback([&] { changeRun(change); });
+
+  RunOptions bursts{.largest = 250};
+  command =
+      app.add_subcommand("bursts", "killed and back: one, an eighth, a sixth, the leader, all in a roll");
+  sizesOf(command, bursts);
+  command->add_option("--seed", bursts.seed)->capture_default_str();
+  command->callback([&] { burstRun(bursts); });
+
+  app.add_subcommand("ci", "200 hollow members, three voters; counts and ratios alone")->callback([] {
+    smallRun({});
+  });
+
+  HollowOptions hollow;
+  long periodMs = 1000;
+  command = app.add_subcommand("hollow", "one process of hollow members, told what to do by lines");
+  command->group("");  // started by the other commands
+  command->add_option("--first", hollow.first);
+  command->add_option("--count", hollow.count);
+  command->add_option("--members", hollow.members);
+  command->add_option("--voters", hollow.voters);
+  command->add_option("--keys", hollow.keys);
+  command->add_option("--port", hollow.port);
+  command->add_option("--period-ms", periodMs);
+  command->add_option("--state", hollow.state);
+  command->add_flag("--seeded", hollow.seeded);
+  command->callback([&] {
+    hollow.period = periodMs * 1'000'000;
+    runHollow(hollow);
+  });
+
+  try {
+    CLI11_PARSE(app, count, words);
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "topazweir_scale: {}\n", error.what());
+    return 2;
+  }
+  return broken() == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/lab/scale/socket_runs.cpp
@@ -0,0 +1,388 @@
+#include "lab/scale/socket_runs.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <memory>
+#include <numeric>
+#include <random>
+
+#include "lab/scale/herd.hpp"
+#include "lab/scale/report.hpp"
+
+namespace topazweir::lab::scale {
+
+namespace {
+
+constexpr int kVoters = 3;
+
+// A folder for the voters' words, away with the run.
+class Folder {
+ public:
+  Folder() {
+    static int count = 0;
+    path_ =
+        std::filesystem::temp_directory_path() / fmt::format("topazweir-scale-{}-{}", ::getpid(), ++count);
+    std::filesystem::create_directories(path_);
+  }
+  ~Folder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  std::string path() const { return path_.string(); }
+
+ private:
+  std::filesystem::path path_;
+};
+
+HollowOptions hollowOf(const RunOptions& options, int members, double period, const Folder& folder) {
+  HollowOptions out;
+  out.members = members, out.voters = kVoters, out.keys = options.keys;
+  out.period = static_cast<Nanos>(period * 1e9);
+  out.state = folder.path();
+  return out;
+}
+
+double quantile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5)];
+}
+
+std::string listOf(const std::vector<int>& members) {
+  std::string out;
+  for (const int i : members) out += fmt::format(" {}", i);
+  return out;
+}
+
+// How many members that run hold the named ones to be there, as a share of the pairs.
+struct Held {
+  double there = 0, suspected = 0, pairs = 0;
+};
+Held held(Herd& herd, const std::vector<int>& members) {
+  Held out;
+  for (const auto& line : herd.all("hold" + listOf(members))) {
+    double there = 0, suspected = 0, pairs = 0;
+    if (std::sscanf(line.c_str(), "%lf %lf %lf", &there, &suspected, &pairs) != 3) continue;
+    out.there += there, out.suspected += suspected, out.pairs += pairs;
+  }
+  return out;
+}
+
+// A member's share of a window, by the period.
+struct AtRest {
+  double datagrams = 0, datagramBytes = 0, streams = 0, streamBytes = 0;  // a member a period, sent
+  double micros = 0;                                                      // a member a period
+  double kilobytes = 0;                                                   // a member, of memory
+  double voterMicros = 0, latest = 0;
+  double first = 0, all = 0;  // periods from a kill to the first verdict and to that of all
+};
+
+AtRest atRest(const RunOptions& options, int members, double period) {
+  Folder folder;
+  Herd herd(hollowOf(options, members, period, folder), options.perProcess);
+  AtRest out;
+  constexpr double kStart = 10,
+                   kWindow = 30;  // periods; full exchanges come each 30, first 30 after its start
+  const double begun = Herd::now();
+  if (!herd.meet(kStart * period, 120)) {
+    claim(false, fmt::format("all of {} members know each other", members));
+    return out;
+  }
+  const double waited = Herd::now() - begun;
+  herd.sleep(std::max(0.0, (kStart + 2) * period - waited));
+  const auto from = herd.others(), votersFrom = herd.voters();
+  herd.sleep(kWindow * period);
+  const auto spent = herd.others() - from, voters = herd.voters() - votersFrom;
+  const double per = 1 / spent.running / kWindow;
+  out.datagrams = spent.sent * per, out.datagramBytes = spent.sentBytes * per;
+  out.streams = spent.connected * per, out.streamBytes = spent.streamSent * per;
+  out.micros = spent.cpuMicros * per, out.kilobytes = spent.rss / spent.running;
+  out.voterMicros = voters.cpuMicros / kVoters / kWindow, out.latest = spent.latest;
+  const int killed = members / 2;
+  const double at = Herd::now();
+  herd.all(fmt::format("watch {} {}", killed, static_cast<long>(at * 1000)));
+  herd.all(fmt::format("kill {}", killed));
+  const auto others = static_cast<std::size_t>(members - 1);
+  herd.wait(60 * period, [&] { return herd.seen().size() >= others; });
+  const auto seen = herd.seen();
+  claim(seen.size() == others, fmt::format("a killed one of {} is known by all", members));
+  if (!seen.empty()) out.first = seen.front() / period, out.all = seen.back() / period;
+  return out;
+}
+
+}  // namespace
+
+void detectorRun(const RunOptions& options) {
+  fmt::print("the detector over sockets at rest, by members; a member's share of a period, sent\n");
+  fmt::print("{:>8} {:>7} {:>9} {:>9} {:>8} {:>10} {:>9} {:>10} {:>10} {:>7} {:>9} {:>9}\n", "members",
+             "period", "datagrams", "bytes", "streams", "bytes", "us", "us, voter", "KB memory", "late ms",
+             "first, p.", "all, p.");
+  Slope datagrams{Model::constant}, datagramBytes{Model::constant}, streamBytes, micros, kilobytes, voter;
+  auto sizes = options.sizes;
+  if (options.largest > 0) sizes.push_back(options.largest);
+  for (const int members : sizes) {
+    const bool last = members == options.largest;
+    const double period =
+        last && options.largestPeriodSeconds > 0 ? options.largestPeriodSeconds : options.periodSeconds;
+    const auto r = atRest(options, members, period);
+    fmt::print(
+        "{:>8} {:>7.1f} {:>9.2f} {:>9.0f} {:>8.2f} {:>10.0f} {:>9.0f} {:>10.0f} {:>10.0f} {:>7.0f} {:>9.1f} "
+        "{:>9.1f}\n",
+        members, period, r.datagrams, r.datagramBytes, r.streams, r.streamBytes, r.micros, r.voterMicros,
+        r.kilobytes, r.latest, r.first, r.all);
+    std::fflush(stdout);
+    const double size = members;
+    if (!last) {
+      datagrams.add(size, r.datagrams), datagramBytes.add(size, r.datagramBytes);
+      streamBytes.add(size, r.streamBytes), micros.add(size, r.micros), kilobytes.add(size, r.kilobytes);
+      voter.add(size, r.voterMicros);
+      continue;
+    }
+    datagrams.compare("datagrams a member a period", size, r.datagrams);
+    datagramBytes.compare("their bytes", size, r.datagramBytes);
+    streamBytes.compare("stream bytes a member a period", size, r.streamBytes);
+    micros.compare("us a member a period", size, r.micros);
+    kilobytes.compare("KB of memory a member", size, r.kilobytes);
+    voter.compare("us a voter a period", size, r.voterMicros);
+  }
+}
+
+namespace {
+
+struct Way {
+  double p50 = 0, p99 = 0, last = 0;              // seconds from decision to in force
+  double complete = 0;                            // share of the changes that all have
+  double bytes = 0, connections = 0, micros = 0;  // a voter a second
+  double memberBytes = 0, memberMicros = 0;       // a member a second, received
+  long changes = 0;
+};
+
+Way wayOf(const RunOptions& options, int members, double period) {
+  Folder folder;
+  Herd herd(hollowOf(options, members, period, folder), options.perProcess);
+  Way out;
+  const bool met = herd.meet(5 * period, 120);
+  claim(met, fmt::format("all of {} members know each other", members));
+  const double keys = options.keys;
+  const bool level = herd.wait(60 * period, [&] { return herd.others().leastCommands >= keys; });
+  claim(level, fmt::format("all of {} members hold the register", members));
+  herd.wait(30 * period, [&] { return herd.leader() >= 0; });
+  if (!met || !level) return out;
+  const double at = Herd::now();
+  herd.all(fmt::format("record {}", static_cast<long>(at * 1000)));
+  const auto from = herd.voters(), othersFrom = herd.others();
+  herd.all(fmt::format("change {} {}", options.changes, static_cast<long>(options.changeSeconds * 1000)));
+  herd.sleep(options.changes * options.changeSeconds);
+  const double time = Herd::now() - at;
+  const auto spent = herd.voters() - from, others = herd.others() - othersFrom;
+  // What is under way has ten polls of time to arrive.
+  herd.wait(60 * period, [&] { return herd.others().leastCommands >= herd.voters().mostCommands; });
+  out.bytes = (spent.sentBytes + spent.streamSent) / kVoters / time;
+  out.connections = spent.accepted / kVoters / time, out.micros = spent.cpuMicros / kVoters / time;
+  out.memberBytes = (others.receivedBytes + others.streamReceived) / others.running / time;
+  out.memberMicros = others.cpuMicros / others.running / time;
+  const auto arrivals = herd.arrivals();
+  std::vector<double> ways;
+  const auto all = static_cast<std::size_t>(members - kVoters);
+  for (const auto& [number, voters] : arrivals.voters) {
+    const double decided = *std::min_element(voters.begin(), voters.end());
+    const auto taken = arrivals.others.find(number);
+    ++out.changes;
+    if (taken == arrivals.others.end()) continue;
+    out.complete += taken->second.size() == all;
+    for (const double when : taken->second) ways.push_back(when - decided);
+  }
+  if (out.changes > 0) out.complete /= static_cast<double>(out.changes);
+  out.p50 = quantile(ways, 0.5), out.p99 = quantile(ways, 0.99), out.last = quantile(ways, 1);
+  claim(out.changes >= options.changes && out.complete == 1,
+        fmt::format("each of {} changes reached all of {} members", out.changes, members));
+  return out;
+}
+
+}  // namespace
+
+void changeRun(const RunOptions& options) {
+  fmt::print(
+      "a change's way from decision to in force; {} keys, a change each {} s, {} of them, period {} s\n",
+      options.keys, options.changeSeconds, options.changes, options.periodSeconds);
+  fmt::print("{:>8} {:>8} {:>8} {:>8} {:>14} {:>14} {:>12} {:>15} {:>13}\n", "members", "p50 s", "p99 s",
+             "last s", "voter bytes/s", "voter conn./s", "voter us/s", "member bytes/s", "member us/s");
+  Slope bytes, connections, member{Model::constant};
+  auto sizes = options.sizes;
+  if (options.largest > 0) sizes.push_back(options.largest);
+  for (const int members : sizes) {
+    const auto w = wayOf(options, members, options.periodSeconds);
+    fmt::print("{:>8} {:>8.2f} {:>8.2f} {:>8.2f} {:>14.0f} {:>14.1f} {:>12.0f} {:>15.0f} {:>13.0f}\n",
+               members, w.p50, w.p99, w.last, w.bytes, w.connections, w.micros, w.memberBytes,
+               w.memberMicros);
+    std::fflush(stdout);
+    const double size = members;
+    if (members != options.largest) {
+      bytes.add(size, w.bytes), connections.add(size, w.connections), member.add(size, w.memberBytes);
+      continue;
+    }
+    bytes.compare("bytes a voter a second", size, w.bytes);
+    connections.compare("connections a voter a second", size, w.connections);
+  }
+}
+
+namespace {
+
+void atOnce(Herd& herd, const RunOptions& options, int members, int count, std::mt19937_64& random,
+            const std::string& what) {
+  std::vector<int> killed(static_cast<std::size_t>(members - kVoters));
+  std::iota(killed.begin(), killed.end(), kVoters);
+  std::shuffle(killed.begin(), killed.end(), random);
+  killed.resize(static_cast<std::size_t>(count));
+  const auto before = herd.others();
+  const double from = Herd::now();
+  herd.all("kill" + listOf(killed));
+  const bool known = herd.wait(120 * options.periodSeconds, [&] { return held(herd, killed).there == 0; });
+  const double knownAfter = Herd::now() - from;
+  const auto sum = herd.others();
+  claim(known && sum.leastAlive == members - count,
+        fmt::format("{}: {} killed at once are known by all, and nobody else is taken for failed", what,
+                    count));
+  const auto spent = sum - before;
+  const double back = Herd::now();
+  herd.all("again" + listOf(killed));
+  const bool again = herd.wait(120 * options.periodSeconds, [&] {
+    auto now = herd.voters();
+    now += herd.others();
+    return now.running == members && now.leastAlive == members;
+  });
+  claim(again, fmt::format("{}: they are back, and all know it", what));
+  const double level = Herd::now() - back;
+  const bool has = herd.wait(60 * options.periodSeconds,
+                             [&] { return herd.others().leastCommands >= herd.voters().mostCommands; });
+  claim(has, fmt::format("{}: they hold the register again", what));
+  fmt::print("{:<28} {:>5} {:>12.1f} {:>12.1f} {:>12.1f} {:>14.0f}\n", what, count, knownAfter, level,
+             Herd::now() - back, (spent.sentBytes + spent.streamSent) / spent.running / knownAfter);
+  std::fflush(stdout);
+}
+
+// Changes go on while one voter, the leader, is killed and comes back.
+void leaderKilled(Herd& herd, const RunOptions& options) {
+  const int leader = herd.leader();
+  claim(leader >= 0, "there is a leader");
+  if (leader < 0) return;
+  const double at = Herd::now();
+  herd.all(fmt::format("record {}", static_cast<long>(at * 1000)));
+  const auto before = herd.voters().mostCommands;
+  herd.all(fmt::format("change {} {}", 20, static_cast<long>(500 * options.periodSeconds)));
+  herd.sleep(3 * options.periodSeconds);
+  herd.all(fmt::format("kill {}", leader));
+  const double killed = Herd::now();
+  const bool other = herd.wait(60 * options.periodSeconds, [&] {
+    const int now = herd.leader();
+    return now >= 0 && now != leader;
+  });
+  const double after = Herd::now() - killed;
+  claim(other, "another leads after the leader was killed");
+  herd.sleep(5 * options.periodSeconds);
+  herd.all(fmt::format("again {}", leader));
+  const bool level = herd.wait(90 * options.periodSeconds, [&] {
+    const auto voters = herd.voters(), others = herd.others();
+    return voters.running == kVoters && voters.leastCommands == voters.mostCommands &&
+           others.leastCommands == voters.mostCommands;
+  });
+  const auto voters = herd.voters();
+  claim(level && voters.mostCommands > before, "all hold the same number of commands after it is back");
+  fmt::print("{:<28} {:>5} {:>12.1f} {:>12} {:>12.1f} {:>14}   changes {:.0f}\n", "leader, amid changes", 1,
+             after, "-", Herd::now() - killed, "-", voters.mostCommands - before);
+  std::fflush(stdout);
+}
+
+void roll(Herd& herd, const RunOptions& options, int members) {
+  const double from = Herd::now();
+  const auto before = herd.others();
+  constexpr int kStep = 16;  // at a time
+  for (int first = kVoters; first < members; first += kStep) {
+    std::vector<int> some;
+    for (int i = first; i < std::min(members, first + kStep); ++i) some.push_back(i);
+    herd.all("kill" + listOf(some));
+    herd.sleep(0.1 * options.periodSeconds);
+    herd.all("again" + listOf(some));
+    herd.sleep(0.4 * options.periodSeconds);
+  }
+  const double over = Herd::now() - from;
+  const bool level = herd.wait(180 * options.periodSeconds, [&] {
+    auto now = herd.voters();
+    const auto others = herd.others();
+    now += others;
+    return now.running == members && now.leastAlive == members &&
+           others.leastCommands >= herd.voters().mostCommands;
+  });
+  claim(level, "all restarted in a roll know each other and hold the register");
+  const auto spent = herd.others() - before;
+  const double time = Herd::now() - from;
+  fmt::print("{:<28} {:>5} {:>12.1f} {:>12} {:>12.1f} {:>14.0f}\n", "all in a roll", members - kVoters, over,
+             "-", time, (spent.sentBytes + spent.streamSent) / spent.running / time);
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+void burstRun(const RunOptions& options) {
+  const int members = options.largest;
+  Folder folder;
+  auto hollow = hollowOf(options, members, options.periodSeconds, folder);
+  hollow.seeded = true;
+  std::mt19937_64 random(options.seed);
+  fmt::print("bursts of {} members, seed {}, period {} s, {} keys\n", members, options.seed,
+             options.periodSeconds, options.keys);
+  Herd herd(hollow, options.perProcess);
+  const bool met = herd.meet(10 * options.periodSeconds, 180);
+  claim(met, "all know each other");
+  if (!met) return;
+  claim(herd.wait(60 * options.periodSeconds, [&] { return herd.others().leastCommands >= options.keys; }),
+        "all hold the register");
+  fmt::print("{:<28} {:>5} {:>12} {:>12} {:>12} {:>14}\n", "", "count", "known, s", "back, s", "level, s",
+             "bytes/s each");
+  atOnce(herd, options, members, 1, random, "one");
+  atOnce(herd, options, members, members / 8, random, "an eighth at once (a rack)");
+  atOnce(herd, options, members, members / 6, random, "a sixth at once (a zone)");
+  leaderKilled(herd, options);
+  roll(herd, options, members);
+}
+
+// Counts and ratios alone, with wide limits of time.
+void smallRun(const RunOptions& options) {
+  constexpr int kMembers = 200;
+  constexpr double kPeriod = 0.5, kWindow = 20;  // periods
+  Folder folder;
+  auto small = options;
+  small.keys = 300;
+  Herd herd(hollowOf(small, kMembers, kPeriod, folder), 40);
+  const bool met = herd.meet(1, 40);
+  claim(met, "all of 200 know each other");
+  if (!met) return;
+  claim(herd.wait(30, [&] { return herd.others().leastCommands >= small.keys; }), "all hold the register");
+  claim(herd.wait(20, [&] { return herd.leader() >= 0; }), "a voter leads");
+  const auto before = herd.others();
+  const double at = Herd::now();
+  const auto known = herd.voters().mostCommands;
+  constexpr int kChanges = 10;
+  herd.all(fmt::format("change {} 200", kChanges));
+  herd.sleep(kWindow * kPeriod);
+  const auto spent = herd.others() - before;
+  const double periods = (Herd::now() - at) / kPeriod, each = spent.sent / spent.running / periods;
+  // One probe and one answer a period; what a busy machine makes late is asked again by three others.
+  claim(each >= 1 && each <= 8, "a member sends one to eight datagrams a period");
+  const auto decided = herd.voters().mostCommands;
+  claim(decided >= known + kChanges / 2, "the register has been changed");
+  claim(herd.wait(30, [&] { return herd.others().leastCommands >= decided; }),
+        "the changes are in force at all");
+  const std::vector<int> killed{77};
+  herd.all("kill 77");
+  claim(herd.wait(40, [&] { return held(herd, killed).there == 0; }), "one that is killed is known by all");
+  herd.all("again 77");
+  claim(herd.wait(40, [&] { return herd.others().leastCommands >= decided; }), "it holds the register again");
+  claim(spent.brokenMessages == 0, "no message was broken");
+}
+
+}  // namespace topazweir::lab::scale
--- /dev/null
+++ b/src/lab/scale/socket_runs.hpp
@@ -0,0 +1,26 @@
+// Runs of hollow members over real sockets: slopes, a change's way, bursts, and the small run of CI.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace topazweir::lab::scale {
+
+struct RunOptions {
+  std::vector<int> sizes{};         // fitted
+  int largest = 0;                  // compared with the prediction; 0: none
+  double periodSeconds = 1;         // between two probes of a member
+  double largestPeriodSeconds = 0;  // 0: the same
+  int keys = 1000;                  // of the register
+  int changes = 60;
+  double changeSeconds = 1;  // between two of them
+  int perProcess = 50;
+  std::uint64_t seed = 1;
+};
+
+void detectorRun(const RunOptions& options);
+void changeRun(const RunOptions& options);
+void burstRun(const RunOptions& options);
+void smallRun(const RunOptions& options);
+
+}  // namespace topazweir::lab::scale
