--- a/src/lab/scale/hollow.cpp
+++ b/src/lab/scale/hollow.cpp
@@ -26,7 +26,6 @@
 namespace {
 
 constexpr Nanos kMs = 1'000'000, kLook = 10 * kMs;
-constexpr const char* kFleet = "hollow";
 
 struct HollowHost : fleet::Host {
   membership::LoadMeter::Totals load() const override { return {120, 0, 0}; }
@@ -181,6 +180,7 @@
     std::istringstream in(line);
     std::string word;
     in >> word;
+    if (!failure_.empty()) return "failed " + failure_;
     try {
       if (word == "start") return startAll(in);
       if (word == "tell") return tellAll(), "ok";
@@ -217,7 +217,13 @@
     in >> over;
     for (int k = 0; k < options_.count; ++k) {
       const int i = options_.first + k;
-      loop_.after(over * kMs * k / options_.count, [this, i] { start(i); });
+      loop_.after(over * kMs * k / options_.count, [this, i] {
+        try {
+          start(i);
+        } catch (const std::exception& error) {
+          failure_ = error.what();
+        }
+      });
     }
     return "ok";
   }
@@ -317,6 +323,7 @@
   std::map<int, Member> members_;
   std::optional<fleet::Streams> teller_;
   std::uint64_t lives_ = 0;
+  std::string failure_;                          // of a member's start
   Nanos lookedAt_ = 0, latest_ = 0, epoch_ = 0;  // epoch: ms
   std::string watched_;
   std::map<int, Nanos> seen_;
--- a/src/lab/scale/hollow.hpp
+++ b/src/lab/scale/hollow.hpp
@@ -20,6 +20,7 @@
   bool seeded = false;  // they meet by the voters' addresses; else a command tells them of each other
 };
 
+inline constexpr const char* kFleet = "hollow";
 std::string addressOf(int member, int port);
 int runHollow(const HollowOptions& options);  // until the end of standard input
 
--- a/src/lab/scale/main.cpp
+++ b/src/lab/scale/main.cpp
@@ -20,8 +20,7 @@
       ->capture_default_str();
   command->add_option("--keys", options.keys, "of the register")->capture_default_str();
   command->add_option("--per-process", options.perProcess, "members in one process")->capture_default_str();
-  command->add_option("--port", options.port, "of all members; two runs side by side want two")
-      ->capture_default_str();
+  command->add_option("--port", options.port, "of all members; 0: drawn")->capture_default_str();
 }
 
 }  // namespace
@@ -56,9 +55,11 @@
   command->add_option("--seed", bursts.seed)->capture_default_str();
   command->callback([&] { burstRun(bursts); });
 
-  app.add_subcommand("ci", "200 hollow members, three voters; counts and ratios alone")->callback([] {
-    smallRun({});
-  });
+  RunOptions small;
+  command = app.add_subcommand(
+      "ci", "200 hollow members, three voters, three real processes; counts and ratios alone");
+  command->add_option("--program", small.program, "topazweir, for the real ones; none without it");
+  command->callback([&] { smallRun(small); });
 
   HollowOptions hollow;
   long periodMs = 1000;
--- a/src/lab/scale/socket_runs.cpp
+++ b/src/lab/scale/socket_runs.cpp
@@ -6,9 +6,11 @@
 #include <filesystem>
 #include <memory>
 #include <numeric>
+#include <optional>
 #include <random>
 
 #include "lab/scale/herd.hpp"
+#include "lab/scale/real.hpp"
 #include "lab/scale/report.hpp"
 
 namespace topazweir::lab::scale {
@@ -42,7 +44,9 @@
   HollowOptions out;
   out.members = members, out.voters = kVoters, out.keys = options.keys;
   out.period = static_cast<Nanos>(period * 1e9);
-  out.state = folder.path(), out.port = options.port;
+  out.state = folder.path();
+  // Below the ports that the machine gives out itself; runs side by side have different ones.
+  out.port = options.port > 0 ? options.port : 17'000 + ::getpid() % 1000 * 10;
   return out;
 }
 
@@ -352,21 +356,32 @@
 
 // Counts and ratios alone, with wide limits of time.
 void smallRun(const RunOptions& options) {
-  constexpr int kMembers = 200;
+  constexpr int kMembers = 200, kReal = 3, kChanges = 10, kKilled = 77;
   constexpr double kPeriod = 0.5, kWindow = 20;  // periods
+  constexpr double kLimit = 60;                  // seconds, for what takes a few
   Folder folder;
   auto small = options;
   small.keys = 300;
-  Herd herd(hollowOf(small, kMembers, kPeriod, folder), 40);
-  const bool met = herd.meet(1, 60);
+  const auto hollow = hollowOf(small, kMembers, kPeriod, folder);
+  Herd herd(hollow, 40);
+  const bool met = herd.meet(1, kLimit);
   claim(met, "all of 200 know each other");
   if (!met) return;
-  claim(herd.wait(60, [&] { return herd.others().leastCommands >= small.keys; }), "all hold the register");
-  claim(herd.wait(60, [&] { return herd.leader() >= 0; }), "a voter leads");
+  claim(herd.wait(kLimit, [&] { return herd.others().leastCommands >= small.keys; }),
+        "all hold the register");
+  claim(herd.wait(kLimit, [&] { return herd.leader() >= 0; }), "a voter leads");
+  std::optional<RealProcesses> real;
+  const int members = kMembers + (options.program.empty() ? 0 : kReal);
+  if (!options.program.empty()) {
+    real.emplace(options.program, kReal, hollow, folder.path());
+    claim(herd.wait(kLimit, [&] { return real->least("members", "alive") == members; }),
+          "three real processes know all others");
+  }
+  claim(herd.wait(kLimit, [&] { return herd.others().leastAlive == members; }), "all know them");
+
   const auto before = herd.others();
   const double at = Herd::now();
   const auto known = herd.voters().mostCommands;
-  constexpr int kChanges = 10;
   herd.all(fmt::format("change {} 200", kChanges));
   herd.sleep(kWindow * kPeriod);
   const auto spent = herd.others() - before;
@@ -375,13 +390,22 @@
   claim(each >= 1 && each <= 8, "a member sends one to eight datagrams a period");
   const auto decided = herd.voters().mostCommands;
   claim(decided >= known + kChanges / 2, "the register has been changed");
-  claim(herd.wait(60, [&] { return herd.others().leastCommands >= decided; }),
+  claim(herd.wait(kLimit, [&] { return herd.others().leastCommands >= decided; }),
         "the changes are in force at all");
-  const std::vector<int> killed{77};
-  herd.all("kill 77");
-  claim(herd.wait(60, [&] { return held(herd, killed).there == 0; }), "one that is killed is known by all");
-  herd.all("again 77");
-  claim(herd.wait(60, [&] { return herd.others().leastCommands >= decided; }), "it holds the register again");
+  if (real)
+    claim(herd.wait(
+              kLimit,
+              [&] { return static_cast<double>(real->least("members register", "commands")) >= decided; }),
+          "at the real ones, too");
+  herd.all(fmt::format("kill {}", kKilled));
+  claim(herd.wait(kLimit, [&] { return held(herd, {kKilled}).there == 0; }),
+        "one that is killed is known by all");
+  if (real)
+    claim(herd.wait(kLimit, [&] { return real->least("members", "alive") == members - 1; }),
+          "by the real ones, too");
+  herd.all(fmt::format("again {}", kKilled));
+  claim(herd.wait(kLimit, [&] { return herd.others().leastCommands >= decided; }),
+        "it holds the register again");
   claim(spent.brokenMessages == 0, "no message was broken");
 }
 
--- a/src/lab/scale/socket_runs.hpp
+++ b/src/lab/scale/socket_runs.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace topazweir::lab::scale {
@@ -15,8 +16,9 @@
   int changes = 60;
   double changeSeconds = 1;  // between two of them
   int perProcess = 50;
-  int port = 17'000;  // of each member's own address of 127.0.0.0/8; two runs side by side want two
+  int port = 0;  // of each member's own address of 127.0.0.0/8; 0: by this process's number
   std::uint64_t seed = 1;
+  std::string program{};  // topazweir: a few real processes beside the hollow members; empty: none
 };
 
 void detectorRun(const RunOptions& options);
