--- a/src/lab/scale/herd.cpp
+++ b/src/lab/scale/herd.cpp
@@ -235,6 +235,7 @@
         auto sum = voters();
         sum += others();
         fmt::print("told again: they know {} to {} of {}\n", sum.leastAlive, sum.mostAlive, options_.members);
+        std::fflush(stdout);
       }
       all("tell");
       toldAt = now();
