--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -345,6 +345,15 @@
   }
 }
 
+bool Side::propose(const agreement::Command& command) {
+  std::vector<Council::Out> out;
+  if (!council_ || !council_->propose(command, loop_.now(), out)) return false;
+  tell(out);
+  handOn();
+  lookAtRegister();
+  return true;
+}
+
 std::string Side::answerTo(const membership::Message& question) {
   if (!council_) return {};
   membership::Message answer{.kind = membership::Kind::followReply, .sender = config_.name};
