Changes reach every member down a tree: the pure module of dissemination, with its checker

Register::takeBack undoes a batch whose digest is not the sender's; its wire form stays. Settings::fanOut is 5 by default instead of 8: beats to 8 children alone are more than 2 KB/s.

--- a/src/agreement/register.cpp
+++ b/src/agreement/register.cpp
@@ -31,6 +31,14 @@
   return {true, commands_};
 }
 
+void Register::takeBack(const std::string& key, std::optional<Held> before) {
+  --commands_;
+  if (before)
+    all_[key] = std::move(*before);
+  else
+    all_.erase(key);
+}
+
 const Register::Held* Register::find(std::string_view key) const {
   const auto at = all_.find(key);
   return at == all_.end() ? nullptr : &at->second;
--- a/src/agreement/register.hpp
+++ b/src/agreement/register.hpp
@@ -33,6 +33,9 @@
   };
   // Texts over kMostKey or kMostValue, and keys over kMost, are not taken.
   Result apply(const Command& command);
+  // Takes back the latest command, which was of this key: `before` is what stood there. A batch that turns
+  // out to be broken is undone by this, its latest command first.
+  void takeBack(const std::string& key, std::optional<Held> before);
 
   const Held* find(std::string_view key) const;
   const std::map<std::string, Held, std::less<>>& all() const { return all_; }
--- a/src/dissemination/disseminator.hpp
+++ b/src/dissemination/disseminator.hpp
@@ -1,7 +1,7 @@
-// How what the voters have agreed on reaches every member: numbered changes pushed down a dissemination tree of
-// voters, relays and members; a snapshot in pieces for who is behind the tail of the log; the low watermark
-// comes back up as counts. Pure: messages, the view and `now` in, messages out.
-// Why it is as it is: docs/design/dissemination.md.
+// How what the voters have agreed on reaches every member: numbered changes pushed down a dissemination tree
+// of voters, relays and members; a snapshot in pieces for who is behind the tail of the log; the low
+// watermark comes back up as counts. Pure: messages, the view and `now` in, messages out. Why it is as it is:
+// docs/design/dissemination.md.
 #pragma once
 
 #include <cstdint>
@@ -28,19 +28,22 @@
   std::string zone;
   bool votes = false;               // this one keeps the register itself, by agreement
   std::vector<std::string> voters;  // names; none: nothing is disseminated
-  std::vector<std::string> relays;  // names of those that alone relay while any of them is there; none: members do
-  std::size_t fanOut = 8;           // children of a voter or relay as planned; at most twice as many are taken
-  Nanos beatEvery = 250'000'000;    // between two words of a parent
-  Nanos silentAfter = 800'000'000;  // without a word a parent is left for the next one
+  std::vector<std::string>
+      relays;  // names of those that alone relay while any of them is there; none: members do
+  // Children of a voter or relay as planned; at most twice as many are taken. Their beats, and all that they
+  // missed in an hour's cut, have to fit into its bytes.
+  std::size_t fanOut = 5;
+  Nanos beatEvery = 250'000'000;     // between two words of a parent
+  Nanos silentAfter = 800'000'000;   // without a word a parent is left for the next one
   Nanos staleAfter = 2'000'000'000;  // age of its news from which one with fresher news is looked for
   std::size_t tailChanges = 4096, tailBytes = 1024 * 1024;  // of the log, kept for who is behind
   std::uint64_t snapshotEvery = 512;  // changes; everywhere at the same numbers, so that pieces of one go on
                                       // from any parent
   std::size_t pieceBytes = 1000;      // of a snapshot, a message each
   std::size_t mostSnapshot = 64 * 1024 * 1024;
-  double bytesPerSecond = 2048;    // sent in the mean, all messages of this part
+  double bytesPerSecond = 2048;         // sent in the mean, all messages of this part
   std::size_t burstBytes = 240 * 1024;  // and in a burst: 6 KB/s in any minute
-  std::size_t frameBytes = 48;     // of the wire around each message
+  std::size_t frameBytes = 48;          // of the wire around each message
   std::uint64_t seed = 1;
 };
 
@@ -63,22 +66,22 @@
 
 // What is in force, by the counts that have come up the tree to this one. Of a leader: the whole fleet's.
 struct InForce {
-  std::uint64_t members = 0;       // counted, itself included
-  Position low;                    // what all of them have: the low watermark
-  std::uint64_t level = 0;         // how many have this one's own position
-  std::vector<Slowest> slowest;    // the farthest behind, at most kSlowest
+  std::uint64_t members = 0;     // counted, itself included
+  Position low;                  // what all of them have: the low watermark
+  std::uint64_t level = 0;       // how many have this one's own position
+  std::vector<Slowest> slowest;  // the farthest behind, at most kSlowest
 };
 inline constexpr std::size_t kSlowest = 3;
 
 struct Counters {
-  std::uint64_t changesApplied = 0, snapshotsTaken = 0;  // snapshots put in place whole
+  std::uint64_t changesApplied = 0, snapshotsTaken = 0;                    // snapshots put in place whole
   std::uint64_t sent = 0, sentBytes = 0, received = 0, receivedBytes = 0;  // with frameBytes
-  std::uint64_t deferred = 0;       // messages that waited for the budget
-  std::uint64_t broken = 0;         // not read: cut off, altered, oversized
-  std::uint64_t repeated = 0;       // known already, or out of order: passed over
-  std::uint64_t diverged = 0;       // the digest after changes was not the sender's: a snapshot was asked for
-  std::uint64_t parentsLeft = 0;    // silent, stale or gone
-  std::uint64_t turnedAway = 0;     // children beyond twice the fan-out
+  std::uint64_t deferred = 0;     // messages that waited for the budget
+  std::uint64_t broken = 0;       // not read: cut off, altered, oversized
+  std::uint64_t repeated = 0;     // known already, or out of order: passed over
+  std::uint64_t diverged = 0;     // the digest after changes was not the sender's: a snapshot was asked for
+  std::uint64_t parentsLeft = 0;  // silent, stale or gone
+  std::uint64_t turnedAway = 0;   // children beyond twice the fan-out
 };
 
 class Disseminator {
--- /dev/null
+++ b/src/dissemination/replica.cpp
@@ -0,0 +1,153 @@
+#include "dissemination/replica.hpp"
+
+#include <xxhash.h>
+
+#include <charconv>
+
+namespace topazweir::dissemination {
+
+namespace {
+
+constexpr Nanos kSec = 1'000'000'000;
+constexpr Nanos kKeptAfterAsked = 30 * kSec;  // an older snapshot that somebody is still fetching
+constexpr std::size_t kChangeOverhead = 64;   // bytes that a change of the tail costs beside its command
+
+std::uint64_t hashOf(const std::string& key, const agreement::Register::Held& held) {
+  const auto first = XXH3_64bits_withSeed(key.data(), key.size(), held.fence);
+  return XXH3_64bits_withSeed(held.value.data(), held.value.size(), first);
+}
+
+std::uint64_t generationOf(const agreement::Register& held) {
+  const auto* at = held.find(kGenerationKey);
+  std::uint64_t out = 0;
+  if (!at) return 0;
+  const char* end = at->value.data() + at->value.size();
+  const auto [stop, error] = std::from_chars(at->value.data(), end, out);
+  return error == std::errc() && stop == end ? out : 0;
+}
+
+std::uint64_t digestOf(const agreement::Register& held) {
+  std::uint64_t sum = 0;
+  for (const auto& [key, h] : held.all()) sum += hashOf(key, h);
+  return sum;
+}
+
+}  // namespace
+
+std::uint64_t Replica::hashOf(std::string_view bytes) { return XXH3_64bits(bytes.data(), bytes.size()); }
+
+void Replica::place() {
+  position_ = {generationOf(held_), held_.commands()};
+  const std::uint64_t words[] = {position_.generation, position_.number, digest_};
+  mark_ = static_cast<std::uint32_t>(XXH3_64bits(words, sizeof words));
+}
+
+bool Replica::apply(const std::vector<agreement::Command>& commands, std::optional<std::uint64_t> digest) {
+  std::vector<std::optional<agreement::Register::Held>> before;
+  std::vector<Change> changes;
+  std::optional<Frozen> crossed;
+  const std::uint64_t digestBefore = digest_;
+  for (const auto& command : commands) {
+    const auto* was = held_.find(command.key);
+    before.push_back(was ? std::optional(*was) : std::nullopt);
+    if (held_.apply(command).done) {
+      if (before.back()) digest_ -= dissemination::hashOf(command.key, *before.back());
+      if (const auto* is = held_.find(command.key)) digest_ += dissemination::hashOf(command.key, *is);
+    }
+    changes.push_back({agreement::writeCommand(command), digest_, 0});
+    if (held_.commands() % limits_.snapshotEvery == 0) {
+      place();
+      crossed = freeze();
+    }
+  }
+  if (digest && digest_ != *digest) {
+    for (std::size_t i = commands.size(); i-- > 0;) held_.takeBack(commands[i].key, std::move(before[i]));
+    digest_ = digestBefore;
+    place();
+    return false;
+  }
+  for (auto& change : changes) {
+    change.bytesBefore = bytes_;
+    bytes_ += change.command.size() + kChangeOverhead;
+    tail_.push_back(std::move(change));
+  }
+  place();
+  trim();
+  if (crossed) keep(std::move(*crossed));
+  return true;
+}
+
+void Replica::replace(agreement::Register whole) {
+  held_ = std::move(whole);
+  digest_ = digestOf(held_);
+  place();
+  tail_.clear();
+  frozen_.clear();
+  base_ = position_.number, baseDigest_ = digest_;
+}
+
+bool Replica::restore(std::string bytes, const Position& at, std::uint64_t hash) {
+  auto whole = agreement::Register::read(bytes);
+  if (!whole || whole->commands() != at.number || generationOf(*whole) != at.generation) return false;
+  replace(std::move(*whole));
+  keep({position_, digest_, hash, std::move(bytes), 0});
+  return true;
+}
+
+void Replica::trim() {
+  while (!tail_.empty() &&
+         (tail_.size() > limits_.tailChanges || bytes_ - tail_.front().bytesBefore > limits_.tailBytes)) {
+    baseDigest_ = tail_.front().digest;
+    ++base_;
+    tail_.pop_front();
+  }
+}
+
+bool Replica::onTail(std::uint64_t number, std::uint64_t digest) const {
+  return number >= base_ && number <= position_.number && digestAt(number) == digest;
+}
+
+std::uint64_t Replica::digestAt(std::uint64_t number) const {
+  return number == base_ ? baseDigest_ : tail_[number - base_ - 1].digest;
+}
+
+std::size_t Replica::tailBytesFrom(std::uint64_t number) const {
+  return number >= position_.number || number < base_ ? 0 : bytes_ - tail_[number - base_].bytesBefore;
+}
+
+Replica::Frozen Replica::freeze() const {
+  Frozen out{position_, digest_, 0, held_.write(), 0};
+  out.hash = hashOf(out.bytes);
+  return out;
+}
+
+void Replica::keep(Frozen frozen) {
+  if (!frozen_.empty() && frozen_.back().at == frozen.at && frozen_.back().hash == frozen.hash) return;
+  frozen_.push_back(std::move(frozen));
+  if (frozen_.size() > 2) frozen_.pop_front();
+  if (frozen_.size() == 2 && frozen_.front().askedAt == 0) frozen_.pop_front();
+}
+
+const Replica::Frozen* Replica::frozenBeyond(const Position& from, Nanos now) {
+  if (!frozen_.empty() && frozen_.back().at > from && frozen_.back().at.number >= base_) {
+    frozen_.back().askedAt = now;
+    return &frozen_.back();
+  }
+  if (madeAt_ != 0 && now - madeAt_ < kSec) return nullptr;
+  madeAt_ = now;
+  keep(freeze());
+  frozen_.back().askedAt = now;
+  return &frozen_.back();
+}
+
+const Replica::Frozen* Replica::frozen(std::uint64_t number, std::uint64_t hash, Nanos now) {
+  if (frozen_.size() == 2 && now - frozen_.front().askedAt > kKeptAfterAsked) frozen_.pop_front();
+  for (auto& f : frozen_)
+    if (f.at.number == number && f.hash == hash) {
+      f.askedAt = now;
+      return &f;
+    }
+  return nullptr;
+}
+
+}  // namespace topazweir::dissemination
