--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -31,7 +31,8 @@
 constexpr Nanos kAskGap = 250 * kMs, kOddGap = 1000 * kMs;
 constexpr Nanos kSlow = 2 * kSec, kMostSlow = 16 * kSec;  // behind without any progress: the parent is slow
 constexpr Nanos kServed = 1500 * kMs;  // from one question for pieces to the next of the same
-constexpr Nanos kStill = 500 * kMs;    // between two ticks: the process stood still
+constexpr Nanos kForgetEvery = 500 * kMs;
+constexpr Nanos kStill = 500 * kMs;  // between two ticks: the process stood still
 // What a message is taken to have been on its way, at most. No clock tells, and without it news that goes
 // round between two that have each other as parents would stay as fresh as it was.
 constexpr Nanos kOnTheWay = 100 * kMs;
@@ -144,7 +145,7 @@
       }
       if (!sendChanges(name, child.sent, replica.position().number, now)) {
         counters.deferred += !child.waits;
-        child.waits = true;
+        child.waits = waiting = true;
         return;
       }
       child.sentAt = now;
@@ -155,8 +156,10 @@
     auto& all = children.all();
     if (all.empty()) return;
     auto at = std::next(all.begin(), static_cast<std::ptrdiff_t>(turn++ % all.size()));  // each is first once
+    waiting = false;
     for (std::size_t i = 0; i < all.size(); ++i) {
       push(at->first, at->second, now);
+      waiting = waiting || at->second.waits;
       if (++at == all.end()) at = all.begin();
     }
   }
@@ -492,9 +495,12 @@
     tickAt = now;
     if (s.voters.empty()) return;
     plan(now);
-    if (children.forget(now)) dirty = true;
-    std::erase_if(voterCounts,
-                  [&](const auto& c) { return now - c.second.reportedAt > Children::kForgotten; });
+    if (now >= forgetAt) {
+      forgetAt = now + kForgetEvery;
+      if (children.forget(now)) dirty = true;
+      std::erase_if(voterCounts,
+                    [&](const auto& c) { return now - c.second.reportedAt > Children::kForgotten; });
+    }
     if (s.votes) {
       if (led && now >= doubtUntil) vouch(now);
     } else {
@@ -502,7 +508,7 @@
       behindTick(now);
       fetchTick(now);
     }
-    pushAll(now);
+    if (waiting) pushAll(now);
     if (now - roundAt >= due() - 20 * kMs) beatAll(now);
     reportIfDue(now);
   }
@@ -603,7 +609,8 @@
   std::vector<Out> out;
   std::string leader, parentBefore;
   std::string served;  // with pieces, as long as it asks on
-  Nanos servedUntil = 0;
+  Nanos servedUntil = 0, forgetAt = 0;
+  bool waiting = false;  // some child's changes, for the budget
   bool led = false, vouched = false, mistrusts = false, dirty = true;
   std::optional<Vouch> word_;  // the parent's latest, as long as this one is not where it was
   Nanos vouchedAt = 0, tickAt = 0, treeAt = 0, roundAt = 0, doubtUntil = 0;
--- a/src/dissemination/parents.cpp
+++ b/src/dissemination/parents.cpp
@@ -111,9 +111,9 @@
     return words;
   }
   staleSince_ = 0;
-  if (!preferred(parent_) && preferred_ > 0 && now >= homeAt_) {
+  if (preferred_ > 0 && now >= homeAt_) {
     homeAt_ = now + jitter(6 * kSec);
-    const auto home = next(now, true);
+    const auto home = preferred(parent_) ? std::string() : next(now, true);
     if (!home.empty()) {
       looked_[home] = now;
       words.push_back({Kind::look, home});
