Discovery is asked so soon that its news is in 6 s after it could be reached

Change: one bound, derived from kCounted: from the moment that a call tells of (its beginning; for a refusal, that) to the next call 6 s less a connect and an answer: 4.7 s. Patience and wait share it, so a call that was given up on is followed sooner than one that failed at once. A refusal that came at once says nothing of the load, so what the last watch missed stays due; one from a queue does, and waits as long as the bound allows. Refusals grow their waits apart from other failures, from the turn on. The first wait after a lost watch may be next to none: a fleet then uses the time that it has. An agent that pushes is asked after 0.1 s also when it has said no.

--- a/src/platform/retry_pace.cpp
+++ b/src/platform/retry_pace.cpp
@@ -9,11 +9,14 @@
 constexpr Nanos kEach = 20 * kMs;      // a turn: some tens of calls a second, however many ask
 constexpr Nanos kShortest = 50 * kMs;  // a small fleet may ask at once, nearly
 constexpr int kDoublings = 3;
-// However many ask, or a wrong number says so: the list must not stay old for minutes.
-constexpr Nanos kLongestTurn = 10'000 * kMs, kLongestWait = 30'000 * kMs, kLongestPatience = 15'000 * kMs;
 // A service that is not overbooked answers at once, and in a small fleet one silent connection must leave the
-// time for a second; an overbooked service has said no itself after two turns.
+// time for a second; an overbooked service has said no itself after two turns, or 2 s.
 constexpr Nanos kAnswerTime = 1000 * kMs;
+// However many ask, what discovery has is in kCounted after it could have been asked: from the moment that
+// the last call tells of to the next call. Patience has nearly all of it, for a call given up on loses its
+// place in the queue and is served in vain; the wait after that is a second at most.
+constexpr Nanos kLongestGap = RetryPace::kCounted - RetryPace::kConnectTime - kAnswerTime;
+constexpr Nanos kLongestPatience = kLongestGap - RetryPace::kConnectTime - 1000 * kMs;
 // Of an agent on the own machine. Together they are less than the time that a drain allows after its news.
 constexpr Nanos kPushedAnswer = 300 * kMs, kPushedWait = 100 * kMs;
 // Kept free at the end of what is left: to connect, to read the list, and for a second call.
@@ -21,21 +24,42 @@
 }  // namespace
 
 RetryPace::RetryPace(int askers, bool pushed, std::uint64_t seed)
-    : turn_(std::min(kLongestTurn, kEach * std::max(1, askers))), pushed_(pushed), random_(seed) {}
+    : turn_(std::min(kLongestGap, kEach * std::max(1, askers))), pushed_(pushed), random_(seed) {}
 
-void RetryPace::heard(Nanos now) { due_ = now + kCounted; }
-void RetryPace::moved(Nanos now) { due_ = now + kCountedAfterMove, failures_ = 0; }
+void RetryPace::heard(Nanos now) { due_ = now + kCounted, begun_ = now; }
+void RetryPace::moved(Nanos now) { due_ = now + kCountedAfterMove, begun_ = now, succeeded(); }
 
 // What is left for a first call and the wait before it, while a second one would still come in time.
 Nanos RetryPace::leftForFirst(Nanos now) const { return std::max<Nanos>(0, due_ - now - kSecondCall); }
 
+// The longest wait after which the next call still brings in time what the last one may have missed. A call
+// tells of the moment at which it began, for what came later may have been there for another; a refusal is
+// discovery's own word, and tells of now.
+Nanos RetryPace::longestWait(Nanos now, bool refused) const {
+  const Nanos gone = refused ? 0 : std::clamp<Nanos>(now - begun_, 0, kConnectTime + kLongestPatience);
+  Nanos most = kLongestGap - gone;
+  if (refused) {
+    // At once: not from a queue, so it says nothing of the load, and what the last watch missed is still due.
+    // After a time in its queue: the fleet is served as fast as it can be.
+    const Nanos left = due_ - now - kConnectTime - kAnswerTime;
+    if (now - begun_ < kAnswerTime && left > kShortest) most = std::min(most, left);
+  } else if (due_ > now + kShortest) {
+    // Half of what is left, the other half is the answer's.
+    most = std::min(most, std::max(kShortest, leftForFirst(now) / 2));
+  }
+  return most;
+}
+
+// The first wait may be next to none: only so does a fleet that asks at once fill the time that it has.
 Nanos RetryPace::next(Nanos now, bool refused) {
-  Nanos most = std::min(kLongestWait, std::max(kShortest, turn_) << std::min(failures_, kDoublings));
-  if (pushed_ && !refused) most = kPushedWait;
-  // While news may still come in time: half of what is left, the other half is the answer's.
-  if (!refused && due_ > now + kShortest) most = std::min(most, std::max(kShortest, leftForFirst(now) / 2));
-  ++failures_;
-  return std::uniform_int_distribution<Nanos>(most / 2, most)(random_);
+  int& before = refused ? refusals_ : failures_;
+  const Nanos grown = pushed_ ? kPushedWait : std::max(kShortest, turn_) << std::min(before, kDoublings);
+  const Nanos most = std::min(grown, longestWait(now, refused));
+  const Nanos least = failures_ == 0 && !refused ? kMs : most / 2;
+  ++before;
+  const Nanos wait = std::uniform_int_distribution<Nanos>(least, most)(random_);
+  begun_ = now + wait;
+  return wait;
 }
 
 Nanos RetryPace::patience(Nanos now) const {
--- a/src/platform/retry_pace.hpp
+++ b/src/platform/retry_pace.hpp
@@ -13,24 +13,27 @@
 // Where one service is asked by all aggregators, a watch that ends for many at once, or a fleet that restarts
 // together, brings all their calls in the same moment, and a call given up on is served all the same. So
 // waits are drawn anew each time, from a span that grows with the number of those who ask and doubles with
-// each failure; and a call is left waiting where it has a place in the queue. But what a silent watch misses
-// counts as told kCounted after its last word, and what a new configuration moves kCountedAfterMove after
-// that: until then the calls are so many, and so patient, that a second one is answered in time when the
-// first is not.
+// each failure; and a call is left waiting where it has a place in the queue.
+//
+// But what discovery has counts as told kCounted after it could have been asked, whatever befell the calls
+// before: no wait and no patience goes beyond that, in any fleet. Nor does what a silent watch misses wait
+// longer after its last word, or what a new configuration moves longer than kCountedAfterMove: until then the
+// calls are so many, and so patient, that a second one is answered in time when the first is not. A fleet too
+// large to be served in kCounted asks no less often: its waits are drawn from all that this leaves.
 //
 // Where lists are pushed, an agent beside the program answers at once and at no cost, and what it holds
-// counts as told: it is asked without delay, each time, and not waited for.
+// counts as told: it is asked without delay, each time, and not waited for, and also after it has said no.
 class RetryPace {
  public:
   RetryPace(int askers, bool pushed, std::uint64_t seed);
 
   // After a failure or a lost watch: the wait before the next call. `refused`: discovery has said no itself.
-  // It is overbooked, and haste would keep it so.
+  // If that came from its queue it is overbooked, and haste would keep it so.
   Nanos next(Nanos now, bool refused = false);
   Nanos patience(Nanos now) const;  // for the first words of an answer
   void heard(Nanos now);            // the last word of a watch
   void moved(Nanos now);            // discovery is elsewhere, by a new configuration
-  void succeeded() { failures_ = 0; }
+  void succeeded() { failures_ = refusals_ = 0; }
 
   static constexpr Nanos kSilence = 2'500'000'000;  // a sound watch says something every 2 s
   static constexpr Nanos kCounted = 6'000'000'000, kCountedAfterMove = 4'000'000'000;
@@ -38,11 +41,13 @@
 
  private:
   Nanos leftForFirst(Nanos now) const;
+  Nanos longestWait(Nanos now, bool refused) const;
 
   Nanos turn_;  // in which each who asks could have a call of its own
   bool pushed_;
-  int failures_ = 0;
-  Nanos due_ = 0;  // news that may have been missed counts as told from then on; 0: none
+  int failures_ = 0, refusals_ = 0;  // apart: one that refuses is up again, and waits grow from the turn
+  Nanos begun_ = 0;                  // the last call, or the last word of a watch
+  Nanos due_ = 0;                    // news that may have been missed counts as told from then on; 0: none
   std::mt19937_64 random_;
 };
 
