--- a/deploy/broker.example.hcl
+++ b/deploy/broker.example.hcl
@@ -94,7 +94,7 @@
   voter "n2" { address = "127.0.0.1:7947" }
   voter "n3" { address = "127.0.0.1:7948" }
   periodMs  = 1000
-  fanOut    = 8                      # members that one hands the voters' register on to
+  fanOut    = 5                      # members that one hands the voters' register on to
   changeBytesPerS = 2048             # sent for that, in the mean
   # relays = ["r1", "r2"]            # these alone hand it on while any of them is there
 }
--- a/src/config/membership_config.cpp
+++ b/src/config/membership_config.cpp
@@ -62,7 +62,7 @@
   if (out.relays.size() > kMostRelays) reader.fail("relays", "more than 256 relays");
   if (repeats(out.relays, [](const std::string& r) { return r; }))
     reader.fail("relays", "a name stands twice");
-  out.fanOut = static_cast<std::size_t>(reader.integer("fanOut", 2, 64, 8));
+  out.fanOut = static_cast<std::size_t>(reader.integer("fanOut", 2, 64, 5));
   out.changeBytesPerS =
       static_cast<std::size_t>(reader.integer("changeBytesPerS", 512, kMostChangeBytes, 2048));
 }
--- a/src/config/membership_config.hpp
+++ b/src/config/membership_config.hpp
@@ -22,7 +22,7 @@
   std::string state;               // folder of a voter's word; empty: it takes no part in agreement
   Nanos period = 0, answerTime = 0, syncEvery = 0, forgetAfter = 0;
   std::vector<std::string> relays;  // names: these alone hand the register on while any is there; none: all
-  std::size_t fanOut = 8;           // members that one hands it on to
+  std::size_t fanOut = 5;           // members that one hands it on to
   std::size_t changeBytesPerS = 2048;  // sent for that, in the mean
 
   std::vector<std::string> voterNames() const;
--- a/src/lab/scale/pure_slopes.cpp
+++ b/src/lab/scale/pure_slopes.cpp
@@ -178,7 +178,7 @@
         [&, i, times] { return costOf(times, [&] { static_cast<void>(answerOf(held[i], 0)); }); });
     reads.push_back([&, i, times] {
       return costOf(times, [&] {
-        agreement::Follower fresh({}, kSec);
+        agreement::Follower fresh({}, kSec, 0);
         take(answers[i], fresh);
       });
     });
