Clients that have left are heard before timers and leafs after a standstill

Cause: with the loop stood still for 0.4 s, all 15 clients that had left got a further attempt. Timers run before the sockets' events of the same round (loop.hpp: Poco calls onBusy ahead of its dispatch), a leaf's answer may be dispatched ahead of a client's end, and each Broker::abandon ran a turn of the module for the others that had left too (broker.cpp, over()).

Change: Loop::hearClients looks at all accepted connections with one poll() when the last look at them is over 50 ms old, ahead of each timer and of each connection's event, and deals with what they bring; else it costs a look at the clock. The broker's turns wait meanwhile (Clock::gathering) and are one turn then, in the same round where it is called for a timer. It can't be due again before a timer has run.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -186,7 +186,8 @@
 }
 
 void Broker::run() {
-  if (terms_.turnsTogetherFrom == 0 || open_.count() < terms_.turnsTogetherFrom) return turn();
+  const bool together = terms_.turnsTogetherFrom > 0 && open_.count() >= terms_.turnsTogetherFrom;
+  if (!together && !clock_.gathering()) return turn();
   if (std::exchange(turnAwaited_, true)) return;
   clock_.wakeAt(clock_.now());
 }
--- a/src/broker/ports.hpp
+++ b/src/broker/ports.hpp
@@ -78,6 +78,9 @@
  public:
   virtual ~Clock() = default;
   virtual Nanos now() const = 0;
+  // News of several clients comes one by one, and what it leads to waits until all of it is in: else a turn
+  // for the first that has left would go on for the others that have.
+  virtual bool gathering() const { return false; }
   virtual void wakeAt(Nanos at) = 0;  // Broker::wake is called then; a later call may only add wakes
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -208,6 +208,12 @@
 // meanwhile would stand unread behind it, and a close over that is a reset.
 bool Server::quiet() const { return open() == 0; }
 
+// A client that has sent ahead more than is read, and has left: with no exchange open, serve() sees to it.
+void Server::onLeft(net::Connection& connection) {
+  const auto at = clients_.find(&connection);
+  if (at != clients_.end() && at->second.exchange != 0) connection.end(net::ConnectionEnd::peerClosed);
+}
+
 void Server::onEnd(net::Connection& connection, net::ConnectionEnd) {
   const auto at = clients_.find(&connection);
   if (at == clients_.end()) return;
@@ -221,14 +227,12 @@
 // an end in time, however they spread their bytes. A client is never answered before it has begun to ask.
 void Server::sweep() {
   sweepTimer_ = loop_.after(kSweep, [this] { sweep(); });
-  std::vector<std::shared_ptr<net::Connection>> slow, left;
+  std::vector<std::shared_ptr<net::Connection>> slow;
   for (auto& [key, client] : clients_) {
     if (client.exchange == 0 && (!client.asked || client.begun) &&
         loop_.now() - client.since > options_.requestTime)
       slow.push_back(client.connection);
-    if (client.exchange != 0 && client.connection->peerLeft()) left.push_back(client.connection);
   }
-  for (const auto& connection : left) connection->end(net::ConnectionEnd::peerClosed);
   for (const auto& connection : slow) {
     if (!hurry(*connection) && !clients_.at(connection.get()).asked) endGently(*connection);
   }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -77,6 +77,7 @@
   void accept();
   void listen(bool on);
   void onData(net::Connection& connection) override;
+  void onLeft(net::Connection& connection) override;
   void onEnd(net::Connection& connection, net::ConnectionEnd end) override;
   void serve(Client& client);
   void reject(Client& client, const Fault& fault);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -21,6 +21,8 @@
   c->socket_.setBlocking(false);
   c->socket_.setNoDelay(true);
   c->watch(true, false);
+  c->accepted_ = true;
+  loop.accepted(*c);
   return c;
 }
 
@@ -64,6 +66,7 @@
   if (state_ == State::ended) return;
   state_ = State::ended;
   loop_.cancel(timer_);
+  if (accepted_) loop_.gone(*this);
   try {
     watch(false, false);
     socket_.close();
@@ -145,6 +148,8 @@
 void Connection::onWritable(Poco::Net::WritableNotification* event) {
   event->release();
   const auto self = shared_from_this();
+  loop_.hearClients();  // what is written or comes up here may begin an attempt
+  if (state_ == State::ended) return;
   if (state_ == State::connecting) {
     int error = 0;
     socklen_t size = sizeof error;
@@ -195,6 +200,18 @@
 void Connection::onReadable(Poco::Net::ReadableNotification* event) {
   event->release();
   const auto self = shared_from_this();
+  loop_.hearClients();  // an answer here may lead to a further attempt, for this or any other request
+  read();
+}
+
+void Connection::hear(bool left) {
+  if (state_ == State::ended) return;
+  if (readable_) return read();
+  if (left && state_ == State::up) owner_->onLeft(*this);
+}
+
+void Connection::read() {
+  if (state_ == State::ended) return;
   const bool more = receive();
   if (state_ == State::lingering) {
     if (sawEnd_) release();
@@ -204,7 +221,24 @@
   if (state_ == State::ended) return;
   if (sawEnd_) return end(*sawEnd_);
   // A peer that sends on without waiting for answers is read no further until these have gone out.
-  if (input_.size() >= kMostInput) watch(false, writable_);
+  if (input_.size() >= kMostInput) pause();
+}
+
+// Nothing tells of the end of a peer that is not read: it is looked for.
+void Connection::pause() {
+  watch(false, writable_);
+  if (!accepted_ || timer_ != Loop::TimerId{}) return;
+  const std::weak_ptr<Connection> weak = weak_from_this();
+  timer_ = loop_.after(kLookBehind, [weak] {
+    if (const auto self = weak.lock()) self->lookBehind();
+  });
+}
+
+void Connection::lookBehind() {
+  timer_ = {};
+  if (state_ != State::up || readable_) return;
+  if (peerLeft()) owner_->onLeft(*this);
+  if (state_ == State::up && !readable_) pause();
 }
 
 }  // namespace topazweir::net
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -23,6 +23,9 @@
     virtual void onUp(Connection&) {}
     virtual void onData(Connection& connection) = 0;  // there is new input()
     virtual void onFlushed(Connection&) {}            // what had to wait has been taken by the socket
+    // An accepted connection's peer has left, and reading is put off: it is not ended by itself, since
+    // input() and what lies unread may still count. Told again while that stands.
+    virtual void onLeft(Connection&) {}
     virtual void onEnd(Connection& connection, ConnectionEnd end) = 0;
   };
 
@@ -48,6 +51,9 @@
   // The peer has closed or broken it, and input() holds the last that it sent; where reading is put off, the
   // end may stand behind what has not been read.
   bool peerLeft() const;
+  // What an accepted connection brings, out of its turn (Loop::hearClients). `left`: its peer has.
+  void hear(bool left);
+  int fd() const { return socket_.impl()->sockfd(); }
   // To be called after input has been used up: reading may have been put off.
   void resume() {
     if (state_ == State::up && input_.size() < kMostInput) watch(true, writable_);
@@ -62,6 +68,7 @@
  private:
   enum class State { connecting, up, lingering, ended };
   static constexpr Nanos kLinger = 1'000'000'000, kSlowPeer = 30'000'000'000;
+  static constexpr Nanos kLookBehind = 50'000'000;       // at a peer that is not read
   static constexpr std::size_t kMostInput = 256 * 1024;  // read ahead; the socket's own buffer holds the rest
   static constexpr std::size_t kMostDropped = 1024 * 1024;  // read and thrown away while lingering
 
@@ -70,17 +77,20 @@
   void watch(bool readable, bool writable);
   void onReadable(Poco::Net::ReadableNotification* event);
   void onWritable(Poco::Net::WritableNotification* event);
+  void read();
   bool receive();
+  void pause();
+  void lookBehind();
   bool flush();  // false: broken
   void linger();
   void release();
-  int fd() const { return socket_.impl()->sockfd(); }
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
   Owner* owner_;
   State state_;
   bool readable_ = false, writable_ = false;  // watched for
+  bool accepted_ = false;
   std::optional<ConnectionEnd> sawEnd_;
   Loop::TimerId timer_{};
   std::string input_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,7 +1,13 @@
 #include "net/loop.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <chrono>
+#include <memory>
+#include <vector>
+
+#include "net/connection.hpp"
 
 namespace topazweir::net {
 
@@ -21,6 +27,7 @@
 Loop::Loop() : SocketReactor(Poco::Timespan(kLongestPoll / 1000)) {
   const auto unix = std::chrono::system_clock::now().time_since_epoch();
   offset_ = std::chrono::duration_cast<std::chrono::nanoseconds>(unix).count() - steady();
+  heardAt_ = polledAt_ = now();
 }
 
 // What a timer holds may cancel timers as it goes, such as a connection that still lingers at the end: it
@@ -38,7 +45,44 @@
 
 void Loop::cancel(const TimerId& id) { timers_.erase(id); }
 
+// Some sockets have events: they are dealt with behind the timers.
+void Loop::onBusy() {
+  heardAt_ = std::max(heardAt_, polledAt_);
+  polledAt_ = now();
+  busy_ = true;
+  fire();
+}
+
+// No socket had an event, or all that had have been dealt with.
+void Loop::onTimeout() {
+  if (!std::exchange(busy_, false)) polledAt_ = now();
+  heardAt_ = std::max(heardAt_, polledAt_);
+  fire();
+}
+
+bool Loop::hearClients() {
+  if (hearing_ || now() - heardAt_ <= kUnheard) return false;
+  std::vector<pollfd> looks;
+  std::vector<std::shared_ptr<Connection>> clients;
+  looks.reserve(accepted_.size());
+  clients.reserve(accepted_.size());
+  for (auto* connection : accepted_) {
+    looks.push_back({connection->fd(), POLLIN | POLLRDHUP, 0});
+    clients.push_back(connection->shared_from_this());
+  }
+  hearing_ = true;
+  const std::shared_ptr<void> whole(nullptr, [this](void*) {
+    heardAt_ = now();  // not earlier: a look that takes long must not lead to the next one at once
+    hearing_ = false;
+  });
+  if (::poll(looks.data(), looks.size(), 0) <= 0) return true;
+  for (std::size_t i = 0; i < looks.size(); ++i)
+    if (looks[i].revents != 0) clients[i]->hear((looks[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+  return true;
+}
+
 void Loop::fire() {
+  hearClients();  // first: the turns that wait for it are run in this round
   // Timers set from here on wait for the next round: a timer that sets itself anew must not starve sockets.
   const auto latest = last_;
   const Nanos until = now();
@@ -47,6 +91,10 @@
       ++at;
       continue;
     }
+    if (hearClients()) {  // an earlier one took long
+      at = timers_.begin();
+      continue;
+    }
     const auto what = std::move(at->second);
     timers_.erase(at);
     what();
--- a/src/net/loop_clock.hpp
+++ b/src/net/loop_clock.hpp
@@ -20,6 +20,7 @@
   LoopClock(const LoopClock&) = delete;
   LoopClock& operator=(const LoopClock&) = delete;
   Nanos now() const override { return loop_.now(); }
+  bool gathering() const override { return loop_.hearing(); }
   void wakeAt(Nanos at) override {
     const auto timer = std::make_shared<Loop::TimerId>();
     *timer = loop_.at(at, [this, timer] {
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -18,6 +18,7 @@
     core.told(list);
   }
   Nanos now() const override { return time; }
+  bool gathering() const override { return gathers; }
   void wakeAt(Nanos at) override { wakes.insert({at, 0}); }
   void start(broker::AttemptOrder order) override {
     if (end) return core.attemptEnded(order.id, *end, "value");  // from within the module's turn
@@ -53,6 +54,7 @@
   std::vector<broker::AttemptId> cancelled;
   std::map<broker::RequestNo, std::vector<std::pair<Nanos, broker::FinalAnswer>>> finals;
   std::optional<Outcome> end;
+  bool gathers = false;
   std::string lines;
   broker::Log log{[this](auto event, auto text) { lines.append(event).append(" ").append(text) += '\n'; },
                   [this] { return time; }};
@@ -149,6 +151,25 @@
   CHECK(w.finals.empty() && w.core.counters().abandoned == 1);
 }
 
+// After a standstill several clients have left, and further attempts are due: the turn for the first must not
+// begin any for the others.
+void clientsLeaveTogether() {
+  for (const bool gathers : {false, true}) {
+    World w(terms());
+    std::vector<broker::RequestNo> all;
+    for (const auto* id : {"q", "r", "s"}) all.push_back(w.take(w.request(id)));
+    w.time += 600 * kMs;  // nothing has woken it
+    const auto before = w.orders.size();
+    w.gathers = gathers;
+    for (const auto no : all) w.core.abandon(no);
+    w.gathers = false;
+    CHECK(gathers == (w.orders.size() == before));  // shown to be counted: one by one, some begin
+    w.pass(3000 * kMs);
+    CHECK(gathers == (w.orders.size() == before));
+    CHECK(w.core.open() == 0 && w.finals.empty() && w.cancelled.size() == w.orders.size());
+  }
+}
+
 // The process is to end: what is open and what still comes has its one final answer by then, told whether it
 // may be asked again: not where something that must not run twice may have run.
 void endsAllInTime() {
@@ -243,6 +264,7 @@
   drainedServersGetNothing();
   holdsNoMoreThanAgreed();
   clientLeaves();
+  clientsLeaveTogether();
   senselessRequests();
   endsAllInTime();
   repeatsKnowTheirWindow();
--- a/tests/ends_test.cpp
+++ b/tests/ends_test.cpp
@@ -3,6 +3,7 @@
 // look at its sockets and its work on them. docs/design/ends.md names the cell that each case stands for.
 #include <fstream>
 #include <source_location>
+#include <thread>
 #include <type_traits>
 
 #include "check.hpp"
@@ -289,6 +290,34 @@
   CHECK(w.note.asked.size() == 1 && w.server.connections() == 0);
 }
 
+// The loop stands still while a client leaves and a timer falls due: the client is heard first. The timer
+// runs in that same round, and so do those that are set again and again while clients go on talking.
+void clientsAreHeardFirst(ServerWorld& w) {
+  auto leaves = w.connect(), stays = w.rests();
+  leaves.say(w.get("/open"));
+  await(w, [&] { return w.note.open.size() == 1; });
+  int gone = -1;
+  w.loop.after(10 * kMs, [&] { gone = w.note.gone; });
+  leaves.socket.close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  await(w, [&] { return gone >= 0; });
+  CHECK(gone == 1 && w.server.connections() == 1);
+
+  int fired = 0;
+  std::function<void()> again = [&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));  // each makes the clients' look due
+    stays.say(w.get("/talks"));
+    if (++fired < 5) w.loop.soon(again);
+  };
+  bool other = false;
+  w.loop.soon(again), w.loop.soon([&] { other = true; });
+  await(w, [&] { return fired == 5 && other; });
+  await(w, [&] {
+    stays.read();
+    return w.note.asked.size() == 7;  // "/open", "/first" and these
+  });
+}
+
 // Room is made by closing a resting connection on which a request has just come in: it is served. The request
 // is written from a timer, after the loop has looked at its sockets and before it accepts.
 void aRequestThatCrossesAnEvictionIsServed(ServerWorld& w) {
@@ -539,6 +568,7 @@
   play(lastWordsCount);
   play(whoHasLeftIsNotServed);
   play(floodsThatLeaveAreNotServed);
+  play(clientsAreHeardFirst);
   play(aRequestThatCrossesAnEvictionIsServed);
   play(aRequestThatCrossesTheShutdownIsNotTaken);
   play(aYoungConnectionIsHeard);
