Policy: a small fleet's share of a cold server is counted in mean work

Change: where the saved-up windows are one, mean work of the calmest time, whole parts, nine tenths of the share.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -56,9 +56,9 @@
 constexpr double kShed = 0.9, kFewAggregators = 4, kJamStep = 0.5;
 constexpr double kCalm = 1.25, kJammed = 2.0;  // median over the calmest: copies cost nobody, or feed queues
 constexpr double kBaseDrift = 0.02;            // of the unqueued delay is forgotten in an aim: speeds change
-// Of this aggregator's share of a cold server's limit, what is used: the lowest mean of kSamples delays that
-// spread by half of their mean is low by two standard errors, a tenth.
-constexpr double kFairShare = 0.9;
+constexpr double kFairShare = 0.6;  // part of this aggregator's share of a cold server's limit that is used
+// The same of few: the lowest mean of kSamples delays that spread by half of it is low by a tenth.
+constexpr double kFairShareOfFew = 0.9;
 // Windows of the tipping rule for which shares are saved up: by the root of the fleet's size, at most.
 constexpr double kSavedByRoot = 1.0 / 3, kSavedWindows = 3;
 // A full server's window: what is left of the own parts that it held, and what each answer adds, in parts.
@@ -531,16 +531,18 @@
     // stretched, from a moment of its own for each instance: however many they are, their sum stays under.
     // Many that ask seldom, each at times of its own, may save up what they did not use: their sum is even.
     const double windows = std::clamp(kSavedByRoot * std::sqrt(set.aggregators), 1.0, kSavedWindows);
-    const double share = kFairShare * set.tipMultiple * warmth(now - r.startedAt - set.tipWindow) *
-                         num(set.tipWindow) / set.aggregators;
-    // Counted in mean work, by which the server tips, and in whole parts over the time that they take.
-    const double work = partWork(meanWork()), whole = std::max(1.0, std::round(windows * share / work));
-    const double window = num(set.tipWindow) * std::max(1.0, whole * work / share);
+    // Of few, bursts don't even out: they count in mean work, by which a server tips, and in whole parts.
+    const bool few = windows <= 1;
+    const double share = (few ? kFairShareOfFew : kFairShare) * set.tipMultiple * num(set.tipWindow) *
+                         warmth(now - r.startedAt - set.tipWindow) / set.aggregators;
+    const double each = partWork(few ? meanWork() : work()), fit = windows * share / each;
+    const double allowed = std::max(1.0, few ? std::round(fit) : fit);
+    const double window = num(set.tipWindow) * std::max(1.0, allowed * each / share);
     const double own = num(set.number % set.aggregators) / set.aggregators;
     if (num(now - r.startedAt) < own * (window - num(set.tipWindow))) return false;
     const auto recent =
         std::count_if(r.sends.begin(), r.sends.end(), [&](Nanos at) { return num(now - at) < window; });
-    return num(recent + 1) <= whole;
+    return num(recent + 1) <= allowed;
   }
 
   bool mayAttempt(const Query& q, const Part& part) {
