--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -8,7 +8,6 @@
 #include <deque>
 #include <limits>
 #include <map>
-#include <numeric>
 #include <random>
 #include <set>
 #include <tuple>
@@ -57,8 +56,6 @@
 constexpr double kCalm = 1.25, kJammed = 2.0;  // median over the calmest: copies cost nobody, or feed queues
 constexpr double kBaseDrift = 0.02;            // of the unqueued delay is forgotten in an aim: speeds change
 constexpr double kFairShare = 0.6;  // part of this aggregator's share of a cold server's limit that is used
-// The same of few: the lowest mean of kSamples delays that spread by half of it is low by a tenth.
-constexpr double kFairShareOfFew = 0.9;
 // Windows of the tipping rule for which shares are saved up: by the root of the fleet's size, at most.
 constexpr double kSavedByRoot = 1.0 / 3, kSavedWindows = 3;
 // A full server's window: what is left of the own parts that it held, and what each answer adds, in parts.
@@ -230,7 +227,6 @@
   double low = 0, median = 0, high = 0;
   double unqueued = 0;  // delay of a part that meets no queue
   double calm = 0;      // median delay in the calmest time
-  double calmMean = 0;  // mean delay in the calmest time: what budgets of work are counted in
   Nanos unqueuedAt = 0, timerAt = -1;
   std::size_t refusals = 0, repeats = 0;  // given, and come in
   Fading jam;       // how late the latest queries were: 0 all in good time, 1 all past their aim
@@ -394,9 +390,6 @@
     const double drift = kBaseDrift * num(now - unqueuedAt) / num(shortestAim);
     unqueued = unqueued > 0 ? std::min(low, unqueued * (1 + drift)) : low;
     calm = calm > 0 ? std::min(median, calm * (1 + drift)) : median;
-    // A mean of few is low by chance now and then: the lowest is kept only among means of all kSamples.
-    const double mean = std::accumulate(sorted.begin(), sorted.end(), 0.0) / num(sorted.size());
-    calmMean = samples.size() < kSamples ? mean : std::min(mean, calmMean * (1 + drift));
     unqueuedAt = now;
   }
 
@@ -413,10 +406,7 @@
   }
   double work() const { return known() ? unqueued : kUnknownWork * num(shortestAim); }
 
-  // With what the way and the calmest queues add, which errs towards sending a cold server less.
-  double meanWork() const { return known() ? calmMean : work(); }
-
-  double partWork(double whole) const { return std::max(whole / 2, whole - num(set.callOverhead)); }
+  double partWork() const { return std::max(work() / 2, work() - num(set.callOverhead)); }
 
   double lateAfter(const QueryClass& cls) const {
     const double most = kLateAim * num(cls.aim);
@@ -463,7 +453,7 @@
     const double own = door ? kOwnAtDoor : std::max(kOwnAtDoor, kOwnQueue * set.aggregators);
     const int joined = r.callTurn == turn ? r.callParts : 0;
     guess += (parts(r) - joined - ownThen) * (hearing() ? kSeenQueue * usualWork() : own * work());
-    guess += joined * partWork(work()) / 2;
+    guess += joined * partWork() / 2;
     if (joined % set.partsPerCall == 0) guess += kCallCost * num(set.callOverhead);
     guess = std::max(guess, work());
     if (!r.outs.empty() && r.lastReply < *r.outs.begin()) guess = std::max(guess, num(now - *r.outs.begin()));
@@ -531,18 +521,14 @@
     // stretched, from a moment of its own for each instance: however many they are, their sum stays under.
     // Many that ask seldom, each at times of its own, may save up what they did not use: their sum is even.
     const double windows = std::clamp(kSavedByRoot * std::sqrt(set.aggregators), 1.0, kSavedWindows);
-    // Of few, bursts don't even out: they count in mean work, by which a server tips, and in whole parts.
-    const bool few = windows <= 1;
-    const double share = (few ? kFairShareOfFew : kFairShare) * set.tipMultiple * num(set.tipWindow) *
-                         warmth(now - r.startedAt - set.tipWindow) / set.aggregators;
-    const double each = partWork(few ? meanWork() : work()), fit = windows * share / each;
-    const double allowed = std::max(1.0, few ? std::round(fit) : fit);
-    const double window = num(set.tipWindow) * std::max(1.0, allowed * each / share);
+    const double share = kFairShare * set.tipMultiple * warmth(now - r.startedAt - set.tipWindow) *
+                         num(set.tipWindow) / set.aggregators;
+    const double window = num(set.tipWindow) * std::max(windows, partWork() / share);
     const double own = num(set.number % set.aggregators) / set.aggregators;
     if (num(now - r.startedAt) < own * (window - num(set.tipWindow))) return false;
     const auto recent =
         std::count_if(r.sends.begin(), r.sends.end(), [&](Nanos at) { return num(now - at) < window; });
-    return num(recent + 1) <= allowed;
+    return num(recent + 1) * partWork() <= std::max(windows * share, partWork());
   }
 
   bool mayAttempt(const Query& q, const Part& part) {
