--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -26,9 +26,6 @@
 constexpr Nanos kLedPeriods = agreement::Follower::kFresh * kFollowPeriods;
 // Of the dissemination's times, by the period; with the usual one of 1 s, those of its Settings.
 constexpr Nanos kBeatsAPeriod = 4, kSilentFifths = 4, kFreshPeriods = 2;
-// Behind the version, as semantic versioning's build metadata: this member reads the dissemination's
-// messages. Members without it are left out of the tree; they would count these as broken.
-constexpr std::string_view kDisseminates = "+d1";
 constexpr int kSettleSyncs = 2;  // full exchanges after which views agree
 
 membership::Settings settingsOf(const config::Membership& config, std::uint64_t seed) {
--- a/src/fleet/side.hpp
+++ b/src/fleet/side.hpp
@@ -37,6 +37,10 @@
   std::uint64_t changesForeign = 0;  // messages of the dissemination by who is no member known here
 };
 
+// Behind a member's version, as semantic versioning's build metadata: it reads the dissemination's messages.
+// Members without it are left out of the tree; they would count these as broken.
+inline constexpr std::string_view kDisseminates = "+d1";
+
 class Side {
  public:
   // `usual`: by how many limits are divided, and this one's place, before anybody is known. Speaks from
--- a/src/lab/scale/hollow.cpp
+++ b/src/lab/scale/hollow.cpp
@@ -107,7 +107,7 @@
     if (member.side) return;
     if (i < options_.voters) prepare(i);
     const auto seed = 1'000'003U * static_cast<std::uint64_t>(i) + ++lives_;
-    member.side = std::make_unique<fleet::Side>(loop_, log_, configOf(i), "1.14.2+g7051536", seed,
+    member.side = std::make_unique<fleet::Side>(loop_, log_, configOf(i), "1.14.2", seed,
                                                 membership::Share{options_.members, i}, host_);
     member.side->start();
     member.side->says(membership::Duty::serving);
@@ -134,8 +134,11 @@
   void tellAll() {
     membership::Message all{.kind = membership::Kind::syncReply, .sender = memberName(options_.first)};
     all.from = addressOf(options_.first, options_.port);
-    for (int i = 0; i < options_.members; ++i)
-      all.news.push_back(memberRecord(i, addressOf(i, options_.port)));
+    for (int i = 0; i < options_.members; ++i) {
+      auto record = memberRecord(i, addressOf(i, options_.port));
+      record.version = "1.14.2" + std::string(fleet::kDisseminates);  // as it says itself
+      all.news.push_back(std::move(record));
+    }
     const auto told = fleet::encode(all, kFleet);
     if (!teller_)
       teller_.emplace(
