--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -447,6 +447,10 @@
       return missing(now);
     }
     ++counters.snapshotsTaken;
+    replaced(now);
+  }
+  // By a snapshot or a voter's whole register, at once.
+  void replaced(Nanos now) {
     mistrusts = false;
     for (auto& [name, child] : children.all()) child.onLog = false;  // each is looked at anew as it reports
     early.clear();
@@ -455,6 +459,12 @@
     missing(now);
     beatAll(now);
   }
+  void adopt(const agreement::Register& whole, Nanos now) {
+    if (s.votes || positionOf(whole) <= replica.position()) return;
+    wake(now);
+    replica.replace(whole);
+    replaced(now);
+  }
   void fetchTick(Nanos now) {
     if (!fetch) return;
     if (fetch->givenUp(now)) {
@@ -630,6 +640,10 @@
   impl_->agreed(held, applied, leader, now);
   return impl_->sent();
 }
+std::vector<Out> Disseminator::adopt(const agreement::Register& whole, Nanos now) {
+  impl_->adopt(whole, now);
+  return impl_->sent();
+}
 void Disseminator::sees(std::vector<Peer> view) { impl_->view = std::move(view); }
 std::vector<Out> Disseminator::tick(Nanos now) {
   impl_->tick(now);
--- a/src/dissemination/disseminator.hpp
+++ b/src/dissemination/disseminator.hpp
@@ -22,6 +22,7 @@
   std::uint64_t number = 0;      // commands applied, agreement::Register::commands()
   auto operator<=>(const Position&) const = default;
 };
+Position positionOf(const agreement::Register& held);
 
 struct Settings {
   std::string self;
@@ -97,6 +98,10 @@
   std::vector<Out> agreed(const agreement::Register& held, const std::vector<agreement::Command>& applied,
                           const std::string& leader, Nanos now);
 
+  // Of a member that has asked a voter for the whole register, where no word came down the tree: taken whole
+  // if it is later than what is held, so that the log goes on from there and no snapshot is fetched.
+  std::vector<Out> adopt(const agreement::Register& whole, Nanos now);
+
   // The view has changed. Costs of the order of its members, at most once per beat, however often it is told.
   void sees(std::vector<Peer> view);
   std::vector<Out> tick(Nanos now);  // every 100 ms or more often
--- a/src/dissemination/replica.cpp
+++ b/src/dissemination/replica.cpp
@@ -34,10 +34,12 @@
 
 }  // namespace
 
+Position positionOf(const agreement::Register& held) { return {generationOf(held), held.commands()}; }
+
 std::uint64_t Replica::hashOf(std::string_view bytes) { return XXH3_64bits(bytes.data(), bytes.size()); }
 
 void Replica::place() {
-  position_ = {generationOf(held_), held_.commands()};
+  position_ = positionOf(held_);
   const std::uint64_t words[] = {position_.generation, position_.number, digest_};
   mark_ = static_cast<std::uint32_t>(XXH3_64bits(words, sizeof words));
 }
--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -4,7 +4,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <random>
 #include <utility>
 
@@ -67,15 +66,6 @@
   return std::uniform_int_distribution<Nanos>(every / 2, every)(random);
 }
 
-dissemination::Position positionOf(const agreement::Register& held) {
-  dissemination::Position out{0, held.commands()};
-  if (const auto* generation = held.find(dissemination::kGenerationKey)) {
-    const auto& digits = generation->value;
-    std::from_chars(digits.data(), digits.data() + digits.size(), out.generation);
-  }
-  return out;
-}
-
 std::string show(const dissemination::Position& position) {
   return fmt::format("{}/{}", position.generation, position.number);
 }
@@ -247,6 +237,7 @@
       return answerTo(*message);
     case membership::Kind::followReply:
       if (follower_ && !follower_->take(message->payload, loop_.now())) ++counters_.broken;
+      if (follower_ && disseminator_) tell(disseminator_->adopt(follower_->held(), loop_.now()));
       return reply;
     default:
       break;
@@ -366,7 +357,7 @@
   if (disseminator_) {
     const auto age = disseminator_->age(now);
     if ((age < 0 ? now - startedAt_ : age) <= kStalePeriods * config_.period) follower_->rest(now);
-    if (disseminator_->position() >= positionOf(follower_->held())) follower_->drop();
+    if (disseminator_->position() >= dissemination::positionOf(follower_->held())) follower_->drop();
   }
   const auto voter = follower_->tick(now);
   if (!voter || *voter == config_.name) return;
@@ -388,12 +379,13 @@
 // Where both ways have brought a register, the later one.
 const agreement::Register& Side::held() const {
   if (council_) return council_->held();
-  const bool tree = disseminator_ && disseminator_->position() >= positionOf(follower_->held());
+  const bool tree =
+      disseminator_ && disseminator_->position() >= dissemination::positionOf(follower_->held());
   return tree ? disseminator_->held() : follower_->held();
 }
 
 dissemination::Position Side::position() const {
-  return keepsRegister() ? positionOf(held()) : dissemination::Position{};
+  return keepsRegister() ? dissemination::positionOf(held()) : dissemination::Position{};
 }
 
 Nanos Side::registerAge() const {
--- a/tests/dissemination_test.cpp
+++ b/tests/dissemination_test.cpp
@@ -712,6 +712,31 @@
   CHECK(checker.violations.empty());
 }
 
+// What a member has asked of a voter itself: whole where it is later, never back, never at a voter.
+void adoptsWhatIsLater() {
+  agreement::Register first;
+  CHECK(first.apply({"a", "1", 0}).done);
+  auto later = first, younger = agreement::Register();
+  CHECK(later.apply({"b", "2", 0}).done);
+  CHECK(younger.apply({kGenerationKey, "7", 0}).done);
+  dissemination::Settings settings;
+  settings.self = "m", settings.voters = {"v"};
+  Disseminator member(settings);
+  member.adopt(first, 1);
+  CHECK(member.held() == first && (member.position() == Position{0, 1}));
+  member.adopt(later, 2);
+  CHECK(member.held() == later);
+  member.adopt(first, 3);
+  CHECK(member.held() == later && (member.position() == Position{0, 2}));
+  member.adopt(younger, 4);  // of voters whose state began anew
+  CHECK(member.held() == younger && (member.position() == Position{7, 1}));
+  CHECK(member.age(5) < 0);  // nobody has vouched for it
+  settings.self = "v", settings.votes = true;
+  Disseminator voter(settings);
+  voter.adopt(later, 1);
+  CHECK(voter.held() == agreement::Register() && voter.position() == Position{});
+}
+
 }  // namespace
 }  // namespace topazweir::test
 
@@ -728,6 +753,7 @@
 
 int main(int count, char** words) {
   using namespace topazweir::test;
+  adoptsWhatIsLater();
   const Seeds seeds(count, words, kSchedules);
   if (count <= 3) {
     seededMistakesAreFound();
