A call for the list keeps its place in discovery's queue beside the next one

Cause: gives each call up after 3.4 s at most (retry_pace.cpp:19, kLongestPatience), and with it its place in discovery's queue (discovery.cpp:76, drop in retry). A service that works its queue in turn, never refuses and goes on with calls whose callers have left then answers only these: 200 askers make 42 calls a second where 20 can be served, and the queue grows for ever. So does one that serves all calls at once, each the slower for it, even where it notices closed connections.

Change: a hedged request. The first call whose patience is over stays open, the next ones are made beside it at the waits and with the patience that stand: the 6 s term holds by the same proof, and no call more is made. The oldest is kept and the younger ones are renewed, since what lies ahead of the oldest only shrinks. Two are open at most. The first whole list, or the word that there is none, makes its call the watch and drops the other; so no older list comes behind a newer one, and `from` is the same for both. A watch that has spoken and falls silent is never kept; SIGHUP drops both. A kept call may be lost: it has 0.5 s for each who asks, 1 min at least and 30 at most; then the next late call takes its place. Each call is an object that owns its connection and timer; it ends in Discovery::ended, won or drop. Where lists are pushed nothing changes: an agent answers at once or not at all.

Weighed and not run: the youngest kept instead of the oldest, for each place would be lost as before.

No check is changed.

--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -34,25 +34,52 @@
   bool inText_ = false, escaped_ = false;
 };
 
-class Discovery : private net::Connection::Owner {
+class Discovery {
  public:
   using Told = std::function<void(const NodeList&)>;
   Discovery(net::Loop& loop, broker::Log& log, Poco::Net::SocketAddress address,
             std::vector<std::string> zones, std::int64_t generation, RetryPace pace, Told told);
-  ~Discovery() override;
+  ~Discovery();
   // From now on the agent at this address is followed; what has been told so far still holds.
   void moveTo(Poco::Net::SocketAddress address);
 
  private:
-  void connect();
-  void retry(std::string_view why, bool refused = false);
+  // One request for the list and, once it has been answered, the watch: owner of its connection and timer. It
+  // ends by being destroyed, in Discovery::ended, won or drop.
+  class Call : net::Connection::Owner {
+   public:
+    explicit Call(Discovery& discovery);
+    ~Call() override;
+    void waitForWord(Nanos most);  // longer is a silence
+    bool answered() const { return answered_; }
+    void setAnswered() { answered_ = true; }
+
+   private:
+    struct Fault {
+      std::string why;
+      bool refused = false;
+    };
+    void onUp(net::Connection& connection) override;
+    void onData(net::Connection& connection) override;
+    void onEnd(net::Connection& connection, net::ConnectionEnd end) override;
+    std::optional<Fault> take(std::string& input);
+    std::optional<Fault> takeLists();
+
+    Discovery& discovery_;
+    http::Parser parser_{http::Side::response, kLimits};
+    ListCutter lists_{kMostList};
+    bool answered_ = false;  // with a whole list, or the word that there is none
+    net::Loop::TimerId timer_;
+    std::shared_ptr<net::Connection> connection_;
+  };
+
   void drop();
-  void watchSilence(Nanos most);
-  void onUp(net::Connection& connection) override;
-  void onData(net::Connection& connection) override;
-  void onEnd(net::Connection& connection, net::ConnectionEnd end) override;
-  void heard();
-  bool takeLists();
+  void callAfter(Nanos wait);
+  void heard(Call& call);
+  void won(Call& call);
+  void told(Call& call, NodeList list);
+  void silent(Call& call);
+  void ended(const Call& call, std::string_view why, bool refused = false);
 
   net::Loop& loop_;
   broker::Log& log_;
@@ -61,10 +88,10 @@
   std::int64_t generation_;
   RetryPace pace_;
   Told told_;
-  std::shared_ptr<net::Connection> connection_;
-  http::Parser parser_{http::Side::response, kLimits};
-  ListCutter lists_{kMostList};
-  net::Loop::TimerId timer_;
+  // The call that the pace times, later the watch; and an older one that keeps its place in discovery's queue
+  // until one of the two is answered.
+  std::unique_ptr<Call> call_, kept_;
+  net::Loop::TimerId timer_;  // to the next call
 
   static constexpr std::size_t kMostList = 1024 * 1024;
   static constexpr http::Limits kLimits{16 * 1024, kMostList};
--- a/src/platform/retry_pace.cpp
+++ b/src/platform/retry_pace.cpp
@@ -21,10 +21,17 @@
 constexpr Nanos kPushedAnswer = 300 * kMs, kPushedWait = 100 * kMs;
 // Kept free at the end of what is left: to connect, to read the list, and for a second call.
 constexpr Nanos kSecondCall = RetryPace::kConnectTime + kAnswerTime + kShortest;
+// Of the call that keeps its place: two lists a second for all who ask. Too short, and its successor begins
+// behind all that has come in meanwhile; too long costs a descriptor.
+constexpr Nanos kSlowestEach = 500 * kMs;
+constexpr Nanos kShortestPlace = 60'000 * kMs, kLongestPlace = 1'800'000 * kMs;
 }  // namespace
 
 RetryPace::RetryPace(int askers, bool pushed, std::uint64_t seed)
-    : turn_(std::min(kLongestGap, kEach * std::max(1, askers))), pushed_(pushed), random_(seed) {}
+    : turn_(std::min(kLongestGap, kEach * std::max(1, askers))),
+      placeTime_(std::clamp(kSlowestEach * askers, kShortestPlace, kLongestPlace)),
+      pushed_(pushed),
+      random_(seed) {}
 
 void RetryPace::heard(Nanos now) { due_ = now + kCounted, begun_ = now; }
 void RetryPace::moved(Nanos now) { due_ = now + kCountedAfterMove, begun_ = now, succeeded(); }
--- a/src/platform/retry_pace.hpp
+++ b/src/platform/retry_pace.hpp
@@ -21,6 +21,13 @@
 // calls are so many, and so patient, that a second one is answered in time when the first is not. A fleet too
 // large to be served in kCounted asks no less often: its waits are drawn from all that this leaves.
 //
+// So early a call is given up on that a service which never refuses, and works its queue in turn, would
+// answer only those that have left. The first one whose patience is over therefore keeps its place while the
+// next ones are made beside it: a hedged request. It is kept and they are renewed, not the other way round,
+// since what lies ahead of the oldest call only shrinks. Two calls are open at most, and no more are made
+// than without it. Its time is bounded, for a call may be lost: by what a slow service would need for all who
+// ask.
+//
 // Where lists are pushed, an agent beside the program answers at once and at no cost, and what it holds
 // counts as told: it is asked without delay, each time, and not waited for, and also after it has said no.
 class RetryPace {
@@ -31,8 +38,12 @@
   // If that came from its queue it is overbooked, and haste would keep it so.
   Nanos next(Nanos now, bool refused = false);
   Nanos patience(Nanos now) const;  // for the first words of an answer
-  void heard(Nanos now);            // the last word of a watch
-  void moved(Nanos now);            // discovery is elsewhere, by a new configuration
+  // A call's patience is over: how long it stays open beside the next ones, to keep its place in discovery's
+  // queue; 0: it is given up on. `taken`: an older call does so already. Waits and patience go on as if it
+  // had been given up on.
+  Nanos keepPlace(bool taken) const { return taken || pushed_ ? 0 : placeTime_; }
+  void heard(Nanos now);  // the last word of a watch
+  void moved(Nanos now);  // discovery is elsewhere, by a new configuration
   void succeeded() { failures_ = refusals_ = 0; }
 
   static constexpr Nanos kSilence = 2'500'000'000;  // a sound watch says something every 2 s
@@ -44,6 +55,7 @@
   Nanos longestWait(Nanos now, bool refused) const;
 
   Nanos turn_;  // in which each who asks could have a call of its own
+  Nanos placeTime_;
   bool pushed_;
   int failures_ = 0, refusals_ = 0;  // apart: one that refuses is up again, and waits grow from the turn
   Nanos begun_ = 0;                  // the last call, or the last word of a watch
