--- a/tests/standing_terms_test.cpp
+++ b/tests/standing_terms_test.cpp
@@ -2,8 +2,8 @@
 // what is added:
 // 1 News counts 6 s after discovery had it and could be reached. Stood: retry_pace_test:
 //   newsIsInBeforeItCounts, anAgentIsAskedAtOnce; ends_test: halfAListIsNoLife, lastListsCount; program_test:
-//   rereadsItsConfiguration. Added: newsIsInSixSecondsLater. A watch is no call that discovery may hold back:
-//   the term's 2 s after such a wait have no case here.
+//   rereadsItsConfiguration, callsThatAreHeld. Added: newsIsInSixSecondsLater. A watch is no call that
+//   discovery may hold back: the term's 2 s after such a wait have no case here.
 // 2 Nothing begins for a client more than 0.1 s after it has left. Stood: broker_test: clientLeaves;
 //   endings_test: anyOrderEndsWell, theCheckerSees; ends_test: whatIsGivenUpIsNotSent, whoHasLeftIsNotServed,
 //   floodsThatLeaveAreNotServed; for calls that are cancelled grpc_wire_test: cancelsReachTheServer. Added:
@@ -113,7 +113,7 @@
 }
 
 constexpr std::array kFleets{1, 3, 12, 48, 100, 300, 1000, 2000};
-constexpr unsigned kPaceSeeds = 300;
+constexpr unsigned kPaceSeeds = 600;
 
 using Worst = std::map<std::string, Nanos>;  // by what happened: how late news was, beyond its time
 
@@ -173,6 +173,28 @@
              silent.listed(once, last + 60 * kSec) - (last + 6 * kSec));
       }
 
+      // Calls that are not answered, the first one kept: it speaks beside a later one, at any moment, and is
+      // the watch from then on. It falls silent at once; whoever asks anew is answered, or the first meets a
+      // fault.
+      for (const bool fault : {false, true}) {
+        Caller<Pace> kept{make(fleet, pushed, seed), start};
+        kept.pace.moved(start);
+        for (std::size_t calls = 1 + random() % 4; calls > 0; --calls)
+          CHECK(!kept.call([](Nanos) { return Meets::mute; }));
+        const Nanos word =
+            kept.now +
+            static_cast<Nanos>(random() % static_cast<std::uint64_t>(kept.pace.patience(kept.now)));
+        kept.pace.heard(word), kept.pace.succeeded();
+        const Nanos given = word + platform::RetryPace::kSilence;
+        kept.now = given + kept.pace.next(given);
+        const Meets first = fault ? kBad[seed % kBad.size()] : Meets::list;
+        bool called = false;
+        const auto once = [&](Nanos) { return std::exchange(called, true) ? Meets::list : first; };
+        note(fault ? std::string("kept call speaks, then once ") + kMeetsNames[seed % kBad.size() + 1]
+                   : "kept call speaks",
+             kept.listed(once, word + 60 * kSec) - (word + 6 * kSec));
+      }
+
       // SIGHUP moves it, at any moment of an outage at the old address; the new one may fail the first call.
       Caller<Pace> moved{make(fleet, pushed, seed), start};
       moved.pace.moved(start);
