--- a/tests/dissemination_test.cpp
+++ b/tests/dissemination_test.cpp
@@ -571,6 +571,14 @@
   std::fflush(stdout);
 }
 
+// All in one moment; everyone's view is brought up to date once, as with a rack that is killed. A view for
+// each of them would be the same one that many times over.
+void startTogether(VirtualChanges& w, const std::vector<int>& several) {
+  for (const int i : several) w.start(i, false);
+  for (const int i : several) w.tell(i);
+  w.viewChanged();
+}
+
 void atItsSize(int members, std::uint64_t seed) {
   std::printf("\n%d members, 3 regions, 6 zones, 3 voters, loss 1 in 100, seed %llu\n", members,
               static_cast<unsigned long long>(seed));
@@ -624,7 +632,7 @@
     row("an eighth lost", seconds, bytesSince(w, before, since));
     CHECK(percentile(seconds, 0.999) <= 5);
     CHECK(checker.untilLevel(60 * kSec));
-    for (const int i : rack) w.start(i);
+    startTogether(w, rack);
     CHECK(checker.untilLevel(120 * kSec));
   }
   checker.atTheEnd();
@@ -694,7 +702,7 @@
   w.loss = 0.01;
   const auto back = [&](std::vector<int> who) {
     for (const int i : who) w.at(i).up = false;
-    for (const int i : who) w.start(i);
+    startTogether(w, who);
     const Nanos since = w.now;
     while (!checker.everyoneLevel() && w.now < since + 600 * kSec) w.run(100 * kMs);
     std::printf("%d members, %zu keys, a register of %zu bytes: %zu started anew are level after %.1f s\n",
@@ -740,29 +748,43 @@
 }  // namespace
 }  // namespace topazweir::test
 
-// Seeds of the schedules from the first to the last one, members, members of the run with a region cut off:
-//   topazweir_dissemination_test 1 1500 2000 2000
-// With less than four words all parts are played, with four or more the runs at size alone. Under the
-// sanitizers the usual ones are fewer and smaller: schedules 300 instead of 1,500, members 400 instead of
-// 2,000 (600 and 120 with a region cut off), keys 2,000 instead of 9,900.
+// One case, and the seeds of the schedules from the first to the last one or the number of members (keys for
+// "member") of a run at size; no case: all of them. The usual seeds also in kParts parts, to be played side
+// by side.
+//   topazweir_dissemination_test schedules 1 1500
+//   topazweir_dissemination_test schedules_1
+//   topazweir_dissemination_test size 2000
+// Under the sanitizers the usual ones are fewer and smaller: schedules 300 instead of 1,500, members 400
+// instead of 2,000 (600 and 120 with a region cut off), keys 2,000 instead of 9,900.
 #if defined(__SANITIZE_ADDRESS__)
-constexpr int kSchedules = 300, kMembers = 400, kKeys = 2000;
+constexpr std::uint64_t kSchedules = 300;
+constexpr int kMembers = 400, kKeys = 2000;
 #else
-constexpr int kSchedules = 1500, kMembers = 2000, kKeys = 9900;
+constexpr std::uint64_t kSchedules = 1500;
+constexpr int kMembers = 2000, kKeys = 9900;
 #endif
+constexpr std::uint64_t kParts = 3;
 
 int main(int count, char** words) {
   using namespace topazweir::test;
-  adoptsWhatIsLater();
-  const Seeds seeds(count, words, kSchedules);
-  if (count <= 3) {
-    seededMistakesAreFound();
+  const std::string only = count > 1 ? words[1] : "";
+  int played = 0;
+  const auto plays = [&](const std::string& name) { return (only.empty() || only == name) && ++played; };
+  const auto number = [&](int usual) { return count > 2 ? std::atoi(words[2]) : usual; };
+  if (plays("adopts")) adoptsWhatIsLater();
+  if (plays("mistakes")) seededMistakesAreFound();
+  if (plays("broken"))
     for (std::uint64_t seed = 1; seed <= 3; ++seed) brokenBytesChangeNothing(seed);
+  if (only == "schedules") {
+    const Seeds seeds(count - 1, words + 1, kSchedules);
     schedules(seeds.first, seeds.last);
+    ++played;
   }
-  const int members = count > 3 ? std::atoi(words[3]) : kMembers;
-  if (members > 0) atItsSize(members, 1);
-  const int region = count > 4 ? std::atoi(words[4]) : members * 3 / 10;
-  if (region > 0) aRegionBack(region, 1);
-  if (members > 0) aMemberBack(60, kKeys, 1);
+  for (std::uint64_t part = 0; part < kParts; ++part)
+    if (plays("schedules_" + std::to_string(part + 1)))
+      schedules(kSchedules * part / kParts + 1, kSchedules * (part + 1) / kParts);
+  if (plays("size")) atItsSize(number(kMembers), 1);
+  if (plays("region")) aRegionBack(number(kMembers * 3 / 10), 1);
+  if (plays("member")) aMemberBack(60, number(kKeys), 1);
+  CHECK(played > 0);  // else there is no such case
 }
