A member that asks says its generation: after new voters' state it takes the new register

Asked with a number alone, a voter whose state began anew answered one who held more commands of the old state "nothing new", and vouched for it: a member that the tree does not reach went on with the old register, shown as fresh, until the numbers had passed its own. The question now carries the generation (in the payload, which older voters pass over); an older one gets the whole register, a later one nothing. A question without it is answered as before.

Side handed each answer on to Disseminator::adopt(), also where none is new: now what is later than the register held alone, counted as register_taken.

--- a/src/fleet/side.cpp
+++ b/src/fleet/side.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
 #include <random>
 #include <utility>
 
@@ -236,8 +237,7 @@
     case membership::Kind::follow:
       return answerTo(*message);
     case membership::Kind::followReply:
-      if (follower_ && !follower_->take(message->payload, loop_.now())) ++counters_.broken;
-      if (follower_ && disseminator_) tell(disseminator_->adopt(follower_->held(), loop_.now()));
+      takeAnswer(*message);
       return reply;
     default:
       break;
@@ -342,12 +342,24 @@
   return true;
 }
 
+// How far one who asks has this voter's register. Numbers of another generation tell nothing: after new
+// voters' state one has none of it, and before it all there is. A member from before generations names none.
+std::uint64_t Side::knownTo(const membership::Message& question) const {
+  std::uint64_t generation = 0;
+  const auto& text = question.payload;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), generation);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return question.sequence;
+  const auto own = dissemination::positionOf(council_->held()).generation;
+  if (generation == own) return question.sequence;
+  return generation < own ? 0 : UINT64_MAX;
+}
+
 std::string Side::answerTo(const membership::Message& question) {
   if (!council_) return {};
   membership::Message answer{.kind = membership::Kind::followReply, .sender = config_.name};
   answer.from = config_.advertise;
   answer.payload =
-      agreement::answerToFollower(council_->held(), !council_->leader().empty(), question.sequence);
+      agreement::answerToFollower(council_->held(), !council_->leader().empty(), knownTo(question));
   return encode(answer, config_.fleet);
 }
 
@@ -362,11 +374,20 @@
   const auto voter = follower_->tick(now);
   if (!voter || *voter == config_.name) return;
   membership::Message question{.kind = membership::Kind::follow, .sender = config_.name};
-  question.from = config_.advertise, question.sequence = held().commands();
+  question.from = config_.advertise;
+  question.sequence = held().commands(), question.payload = std::to_string(position().generation);
   ++counters_.registerAsked;
   send({addressOf(*voter), std::move(question)});
 }
 
+void Side::takeAnswer(const membership::Message& answer) {
+  if (!follower_) return;
+  if (!follower_->take(answer.payload, loop_.now())) return void(++counters_.broken);
+  if (!disseminator_ || dissemination::positionOf(follower_->held()) <= disseminator_->position()) return;
+  ++counters_.registerTaken;
+  tell(disseminator_->adopt(follower_->held(), loop_.now()));
+}
+
 // As it says itself; where it has not been met yet, as the file names it.
 std::string Side::addressOf(const std::string& voter) const {
   if (const auto at = detector_.view().find(voter); at != detector_.view().end())
@@ -536,12 +557,13 @@
          fmt::format("register_age_ms {}\n", age < 0 ? -1 : age / kMs) +
          line("register_members", all.members) + line("register_level", all.level) +
          line("register_low", all.low.number) + line("register_asked", c.registerAsked) +
-         line("changes_applied", changes.changesApplied) + line("snapshots_taken", changes.snapshotsTaken) +
-         line("changes_sent", changes.sent) + line("changes_sent_bytes", changes.sentBytes) +
-         line("changes_received", changes.received) + line("changes_received_bytes", changes.receivedBytes) +
-         line("changes_deferred", changes.deferred) + line("changes_broken", changes.broken) +
-         line("changes_foreign", c.changesForeign) + line("changes_repeated", changes.repeated) +
-         line("changes_diverged", changes.diverged) + line("parents_left", changes.parentsLeft) +
+         line("register_taken", c.registerTaken) + line("changes_applied", changes.changesApplied) +
+         line("snapshots_taken", changes.snapshotsTaken) + line("changes_sent", changes.sent) +
+         line("changes_sent_bytes", changes.sentBytes) + line("changes_received", changes.received) +
+         line("changes_received_bytes", changes.receivedBytes) + line("changes_deferred", changes.deferred) +
+         line("changes_broken", changes.broken) + line("changes_foreign", c.changesForeign) +
+         line("changes_repeated", changes.repeated) + line("changes_diverged", changes.diverged) +
+         line("parents_left", changes.parentsLeft) +
          line("children", disseminator_ ? disseminator_->children() : 0) +
          line("children_turned_away", changes.turnedAway);
 }
--- a/src/fleet/side.hpp
+++ b/src/fleet/side.hpp
@@ -34,6 +34,7 @@
   std::uint64_t broken = 0, foreign = 0, otherVersion = 0, unsent = 0;
   std::uint64_t votersDiffer = 0;    // messages between voters that are configured otherwise
   std::uint64_t registerAsked = 0;   // a voter, for the whole register
+  std::uint64_t registerTaken = 0;   // of a voter's answer, since it was later than what is held
   std::uint64_t changesForeign = 0;  // messages of the dissemination by who is no member known here
 };
 
@@ -92,6 +93,7 @@
   void onAgreement(const membership::Message& message);
   void tell(const std::vector<Council::Out>& messages);
   std::string addressOf(const std::string& voter) const;
+  std::uint64_t knownTo(const membership::Message& question) const;
   std::string answerTo(const membership::Message& question);
   void onDissemination(const membership::Message& message);
   void disseminate();
@@ -99,6 +101,7 @@
   void tell(const std::vector<dissemination::Out>& messages);
   void showView();
   void follow();
+  void takeAnswer(const membership::Message& answer);
   bool led() const;
   bool keepsRegister() const { return council_ || follower_; }
   const agreement::Register& held() const;
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -298,6 +298,13 @@
     CHECK(w.counter(i, "register_asked") > 0 && w.counter(i, "changes_applied") == 0);
     CHECK(w.follows(i).parent.empty());
   }
+  // An answer without anything new is taken no further.
+  std::map<int, long> taken;
+  for (const int i : members) taken[i] = w.counter(i, "register_taken");
+  for (const int i : members) {
+    w.untilCounted(i, "register_asked", w.counter(i, "register_asked") + 3);
+    CHECK(taken[i] > 0 && w.counter(i, "register_taken") == taken[i]);
+  }
   w.untilStanding("voters answer", all, "agreed");
 
   w.path = [](int from, int to) { return Path{.untold = from == 0 || to == 0, .unasked = true}; };
@@ -320,6 +327,35 @@
     CHECK(w.counter(i, "register_asked") == asked[i] || w.process(i).said("membership.stale"));
 }
 
+// All voters' state is emptied, and begins anew with lower numbers than before: who has to ask for the
+// register takes the new one, and does not go on with the old one as if it were the later.
+void votersBeginAnew(World& w) {
+  const auto voters = World::range(0, 2), members = World::range(3, 4), all = World::range(0, 4);
+  w.keepsState = true;
+  w.path = [](int, int) { return Path{.untold = true}; };
+  w.start(0, 4);
+  w.untilOneView("all have met", all);
+  auto led = w.untilLed("a first leader", voters, 0);
+  w.process(World::numberOf(led.coordinator)).kill();
+  auto others = voters;
+  std::erase(others, World::numberOf(led.coordinator));
+  led = w.untilLed("its leader is killed", others, led.fence);
+  CHECK(w.untilHeldBy(members, led));
+  const long before = w.counter(members.front(), "register_generation");
+  CHECK(before > 0);
+
+  for (const int i : others) w.process(i).kill();
+  for (const int i : voters) std::filesystem::remove_all(w.stateFile(i));
+  for (const int i : voters) w.start(i);
+  const auto anew = w.untilLed("voters begin anew", voters, 0);
+  CHECK(anew.commands < led.commands);
+  for (const int i : members)
+    w.untilTrue("it keeps the register of before", [&] {
+      return w.counter(i, "register_generation") == w.counter(voters.front(), "register_generation");
+    });
+  CHECK(w.counter(members.front(), "register_generation") > before);
+}
+
 // A voter from before the dissemination, played by the test: it is there, and says which version it is. What
 // it could not read is not sent to it once that is known; the others go on.
 class OldVoter {
@@ -419,4 +455,5 @@
   play(words[1], "zone", 3, seed, aZoneKeepsWhatItHas);
   play(words[1], "versions", 3, seed, oldAndNewSideBySide);
   play(words[1], "old", 3, seed, anOldVoterIsSpared);
+  play(words[1], "anew", 3, seed, votersBeginAnew);
 }
