A generation that the voters don't know is left after 30 s, where it stood for ever

A generation outranks every number of earlier ones. One begun by a clock that was ahead, before all voters' folders were emptied, or one that nobody of the fleet began, was therefore kept for ever by each member that had it, and handed on below: no parent offers what is earlier. Within a generation nothing goes back by this.

--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -31,6 +31,9 @@
 constexpr Nanos kAskGap = 250 * kMs, kOddGap = 1000 * kMs;
 constexpr Nanos kSlow = 2 * kSec, kMostSlow = 16 * kSec;  // behind without any progress: the parent is slow
 constexpr Nanos kServed = 1500 * kMs;  // from one question for pieces to the next of the same
+// So long without a beat of fresh news that are this one's state: a later generation than they have is none
+// that the voters know of, such as one begun by a clock that was ahead.
+constexpr Nanos kContradicted = 30 * kSec;
 constexpr Nanos kForgetEvery = 500 * kMs;
 constexpr Nanos kStill = 500 * kMs;  // between two ticks: the process stood still
 // What a message is taken to have been on its way, at most. No clock tells, and without it news that goes
@@ -84,6 +87,10 @@
     }
   }
   Nanos age(Nanos now) const { return vouched ? std::max<Nanos>(0, now - vouchedAt) : kNeverVouched; }
+  bool fresh(Nanos now) const { return age(now) <= s.staleAfter; }
+  bool contradicted(Nanos now) const {
+    return contradictedSince != 0 && now - contradictedSince > kContradicted;
+  }
   void vouch(Nanos at) {
     vouchedAt = vouched ? std::max(vouchedAt, at) : at;
     vouched = true;
@@ -186,15 +193,17 @@
            now);
   }
   // Where the child is in this one's history, and what it gets from there.
-  void settle(const std::string& name, Child& child, bool diverged, Nanos now) {
+  void settle(const std::string& name, Child& child, std::uint8_t flags, Nanos now) {
     const auto& at = child.counts.at;
-    child.onLog = replica.onTail(at.number, child.digest) && !diverged;
+    child.onLog = replica.onTail(at.number, child.digest) && !(flags & Report::kDiverged);
     child.sent = at.number;
     child.sentAt = 0;
     if (child.onLog && snapshotIsLess(child)) child.onLog = false;
     if (child.onLog) return push(name, child, now);
     const bool same = at == replica.position() && child.digest == replica.digest();
-    if (at <= replica.position() && !same) offer(name, child, now);
+    const auto own = replica.position().generation;
+    const bool unknown = (flags & Report::kContradicted) && own > 0 && at.generation > own && fresh(now);
+    if ((at <= replica.position() || unknown) && !same) offer(name, child, now);
   }
   void onReport(const std::string& from, const Report& r, Nanos now) {
     if (std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end()) return void(++counters.repeated);
@@ -235,7 +244,7 @@
     const bool waits = !child->onLog && now - child->offeredAt > Children::kRenew;
     if (fresh || (r.flags & (Report::kSubscribe | Report::kMissing)) || waits || lost ||
         r.number > child->sent)
-      settle(from, *child, r.flags & Report::kDiverged, now);
+      settle(from, *child, r.flags, now);
   }
   void onAsk(const std::string& from, const Ask& ask, Nanos now) {
     if (ask.pieceBytes < 64 || ask.pieceBytes > Ask::kMostPiece || ask.count == 0 ||
@@ -278,6 +287,7 @@
   }
   bool sendReport(const std::string& to, std::uint8_t flags, Nanos now, Kind kind = Kind::report) {
     if (mistrusts) flags |= Report::kDiverged;
+    if (contradicted(now)) flags |= Report::kContradicted;
     if (!send(to, write(report(flags), kind), Urgency::word, now)) {
       ++counters.deferred;
       return false;
@@ -354,6 +364,10 @@
     } else if (behindSince == 0) {
       behindSince = progressAt = now;
     }
+    if (level || old > s.staleAfter)
+      contradictedSince = 0;
+    else if (contradictedSince == 0)
+      contradictedSince = now;
     if (old < kNeverVouched) {
       word_ = Vouch{b.number, b.mark, now - old};
       settleVouch();
@@ -403,6 +417,7 @@
   }
   void advanced(Nanos now) {
     progressAt = now;
+    contradictedSince = 0;
     dirty = true;
     settleVouch();
     if (fetch && replica.position() >= Position{fetch->offer().generation, fetch->offer().number})
@@ -410,8 +425,9 @@
     pushAll(now);
     reportIfDue(now);
   }
-  bool wants(const Offer& o) const {
+  bool wants(const Offer& o, Nanos now) const {
     const Position at{o.generation, o.number};
+    if (o.generation > 0 && o.generation < replica.position().generation) return contradicted(now);
     return at > replica.position() || (at == replica.position() && o.digest != replica.digest());
   }
   void onOffer(const std::string& from, const Offer& o, Nanos now) {
@@ -420,7 +436,7 @@
       ++counters.broken;
       return;
     }
-    if (!wants(o)) {
+    if (!wants(o, now)) {
       ++counters.repeated;
       return;
     }
@@ -446,7 +462,7 @@
     const Offer o = fetch->offer();
     auto bytes = fetch->bytes();
     fetch.reset();
-    if (!wants(o)) return;
+    if (!wants(o, now)) return;
     if (Replica::hashOf(bytes) != o.hash ||
         !replica.restore(std::move(bytes), {o.generation, o.number}, o.hash)) {
       ++counters.broken;
@@ -639,7 +655,8 @@
   bool led = false, vouched = false, mistrusts = false, dirty = true;
   std::optional<Vouch> word_;  // the parent's latest, as long as this one is not where it was
   Nanos vouchedAt = 0, tickAt = 0, treeAt = 0, roundAt = 0, doubtUntil = 0;
-  Nanos parentEvery = 0, behindSince = 0, progressAt = 0, slowAfter = kSlow, askedAt = 0, reportedAt = 0;
+  Nanos parentEvery = 0, behindSince = 0, progressAt = 0, slowAfter = kSlow, contradictedSince = 0,
+        askedAt = 0, reportedAt = 0;
   std::uint64_t parentNumber = 0;
   std::size_t turn = 0;
 };
--- a/src/dissemination/messages.hpp
+++ b/src/dissemination/messages.hpp
@@ -41,6 +41,7 @@
 
 struct Report {
   static constexpr std::uint8_t kSubscribe = 1, kMissing = 2, kLook = 4, kUrgent = 8, kDiverged = 16;
+  static constexpr std::uint8_t kContradicted = 32;  // it has a later generation than all fresh news
   std::uint8_t flags = 0;
   std::uint64_t generation = 0, number = 0, digest = 0;
   std::uint64_t early =
--- a/tests/dissemination_test.cpp
+++ b/tests/dissemination_test.cpp
@@ -595,7 +595,8 @@
       const auto same = [&](const auto& read, const auto&... writeMore) {
         return write(*read(later), writeMore...) == write(*read(known), writeMore...);
       };
-      if (sample.kind == Kind::beat) CHECK(same(readBeat));
+      if (sample.kind == Kind::offer) CHECK(write(*readOffer(known)) == known);
+      if (sample.kind == Kind::beat) CHECK(same(readBeat) && write(*readBeat(known)) == known);
       if (sample.kind == Kind::changes) CHECK(same(readChanges));
       if (sample.kind == Kind::report) CHECK(same(readReport, Kind::report));
       if (sample.kind == Kind::offer) CHECK(same(readOffer));
@@ -792,6 +793,47 @@
   }
 }
 
+// Of new voters' state begun by a clock that was behind, and of a register that nobody agreed on with the
+// highest generation: neither keeps anybody for ever, and the numbers go on.
+void aLaterGenerationThanTheVotersIsLeft(bool all) {
+  VirtualChanges::Options o;
+  o.members = 40, o.zones = 2, o.seed = 3;
+  o.settings.fanOut = 2;
+  VirtualChanges w(o);
+  w.startAll();
+  w.run(2 * kSec);
+  begin(w, 1000);
+  for (int i = 0; i < 30; ++i) w.propose(drawnChange(w, 10, 40));
+  w.run(20 * kSec);
+  const auto level = [&] {
+    for (int i = 0; i < w.size(); ++i)
+      if (!(w.at(i).node->held() == w.truth())) return false;
+    return true;
+  };
+  CHECK(level());
+  if (all) {
+    w.emptyVoters();
+    w.lead(0);
+    begin(w, 7);
+  } else {
+    agreement::Register foreign;
+    foreign.apply({kGenerationKey, std::to_string(~0ull), 0});
+    for (int i = 10; i < 20; ++i) w.at(i).node->adopt(foreign, w.now);
+  }
+  for (int i = 0; i < 5; ++i) w.propose(drawnChange(w, 10, 40));
+  w.run(20 * kSec);
+  CHECK(!level());  // not on the first word to the contrary
+  Nanos took = 20 * kSec;
+  for (; !level() && took < 600 * kSec; took += kSec) w.run(kSec);
+  CHECK(level());
+  w.propose(put(w.truth(), "last", "x"));
+  w.run(10 * kSec);
+  CHECK(level());
+  std::printf("%s: all level after %.0f s\n",
+              all ? "a generation begun behind the former one" : "a foreign one",
+              static_cast<double>(took) / 1e9);
+}
+
 // What comes from who may not say it, or about nothing that is going on, is passed over and counted.
 void whatIsPassedOverIsCounted() {
   Voter v;
@@ -1119,6 +1161,8 @@
     whoClaimsAndBringsNothingIsLeft(false);
     whoClaimsAndBringsNothingIsLeft(true);
     doubtsAreOfOneParent();
+    aLaterGenerationThanTheVotersIsLeft(true);
+    aLaterGenerationThanTheVotersIsLeft(false);
     whatIsPassedOverIsCounted();
   }
   if (plays("mistakes")) seededMistakesAreFound();
