fleet_processes tree: a leader that changes by itself on a busy machine decides nothing

Under a load of 25 on 8 cores, with a period of 200 ms, voters elect anew by themselves. Who leads is looked up after the counts, and anew at each look; all that was asked of the leader still is.

--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -193,6 +193,8 @@
     asked[i] = w.counter(i, "register_asked");
     applied[i] = w.counter(i, "changes_applied") + w.counter(i, "snapshots_taken");
   }
+  // Only now: a busy machine may have changed the leader since, and what came of that is no news any more.
+  led = w.untilLed("a leader", voters, 0);
   int leader = World::numberOf(led.coordinator);
   w.process(leader).kill();
   auto others = voters;
@@ -226,15 +228,16 @@
 
   // All that are there are counted, and all have what the leader has.
   const auto there = static_cast<long>(all.size()) - 2;
-  led = w.untilLed("two of three", others, 0);
-  leader = World::numberOf(led.coordinator);
-  cli::View view;
+  // The leader of then: a busy machine may change it at any time, and who was it counts its own subtree
+  // alone.
   w.untilTrue("the leader does not count all as level", [&] {
-    view = w.views({leader}).at(leader);
-    return view.counted == std::to_string(there) && view.level == view.counted && view.low == view.position;
+    led = w.untilLed("two of three", others, 0);
+    leader = World::numberOf(led.coordinator);
+    const auto view = w.views({leader}).at(leader);
+    return view.counted == std::to_string(there) && view.level == view.counted && view.low == view.position &&
+           cli::compare({view}).find("# in force: " + std::to_string(w.led(leader).commands) + " at all of " +
+                                     std::to_string(there) + " counted") != std::string::npos;
   });
-  CHECK(cli::compare({view}).find("# in force: " + std::to_string(w.led(leader).commands) + " at all of " +
-                                  std::to_string(there) + " counted") != std::string::npos);
 }
 
 // A zone is cut off from all voters while leaders change: it keeps what it has, and says how old that is;
