A voter's short standstill leaves it vouching: only one that may have lost its leader waits

After each standstill over half a second a voter vouched for nothing for the time of an election, and its children would have looked elsewhere for a hiccup. A leader can't have been replaced before most of an election's time has passed (half of the time after which news are stale, with a heartbeat each half period): below that it vouches on.

Test: member_alone, 0.8 s of standstill, age as ever; 10 s, nothing vouched for until the time is over.

--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -80,9 +80,12 @@
       children.stoodStill(gap);
       if (fetch) fetch->stoodStill(gap, now);
       progressAt = std::min(now, progressAt + gap);
-      // A voter that stood still may have lost its leader since, or the lead, and learns of it by the time
-      // after which news are stale.
-      doubtUntil = now + (s.votes ? std::max(kDoubt, s.staleAfter) : kDoubt);
+      // A voter that stood still for most of an election's time may have lost its leader, or the lead, and
+      // learns of it within that time: the one after which news are stale.
+      if (!s.votes)
+        doubtUntil = now + kDoubt;
+      else if (gap > s.staleAfter / 2)
+        doubtUntil = now + std::max(kDoubt, s.staleAfter);
       tickAt = now;
     }
   }
--- a/tests/dissemination_test.cpp
+++ b/tests/dissemination_test.cpp
@@ -714,6 +714,9 @@
   v.agree("x", 1, now);
   runs(kSec);
   CHECK(ageOf(now) <= 100 * kMs);
+  now += 800 * kMs;  // its leader cannot have been replaced by then
+  CHECK(ageOf(now) <= 100 * kMs);
+  runs(kSec);
   now += 10 * kSec;
   CHECK(ageOf(now) >= 10 * kSec);
   runs(kSec);
