--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -31,6 +31,9 @@
 constexpr Nanos kAskGap = 250 * kMs, kOddGap = 1000 * kMs;
 constexpr Nanos kSlow = 2 * kSec, kMostSlow = 16 * kSec;  // behind without any progress: the parent is slow
 constexpr Nanos kServed = 1500 * kMs;  // from one question for pieces to the next of the same
+// So long without a beat of fresh news that are this one's state: a later generation than they have is none
+// that the voters know of, such as one begun by a clock that was ahead.
+constexpr Nanos kContradicted = 30 * kSec;
 constexpr Nanos kForgetEvery = 500 * kMs;
 constexpr Nanos kStill = 500 * kMs;  // between two ticks: the process stood still
 // What a message is taken to have been on its way, at most. No clock tells, and without it news that goes
@@ -75,11 +78,22 @@
     if (gap > kStill) {
       parents.stoodStill(gap, now);
       children.stoodStill(gap);
-      doubtUntil = now + kDoubt;
+      if (fetch) fetch->stoodStill(gap, now);
+      progressAt = std::min(now, progressAt + gap);
+      // A voter that stood still for most of an election's time may have lost its leader, or the lead, and
+      // learns of it within that time: the one after which news are stale.
+      if (!s.votes)
+        doubtUntil = now + kDoubt;
+      else if (gap > s.staleAfter / 2)
+        doubtUntil = now + std::max(kDoubt, s.staleAfter);
       tickAt = now;
     }
   }
   Nanos age(Nanos now) const { return vouched ? std::max<Nanos>(0, now - vouchedAt) : kNeverVouched; }
+  bool fresh(Nanos now) const { return age(now) <= s.staleAfter; }
+  bool contradicted(Nanos now) const {
+    return contradictedSince != 0 && now - contradictedSince > kContradicted;
+  }
   void vouch(Nanos at) {
     vouchedAt = vouched ? std::max(vouchedAt, at) : at;
     vouched = true;
@@ -140,7 +154,7 @@
   void push(const std::string& name, Child& child, Nanos now) {
     while (child.onLog && child.sent < replica.position().number) {
       if (child.sent < replica.base()) {
-        child.onLog = false;
+        child.onLog = child.waits = false;
         return;
       }
       if (!sendChanges(name, child.sent, replica.position().number, now)) {
@@ -182,18 +196,20 @@
            now);
   }
   // Where the child is in this one's history, and what it gets from there.
-  void settle(const std::string& name, Child& child, bool diverged, Nanos now) {
+  void settle(const std::string& name, Child& child, std::uint8_t flags, Nanos now) {
     const auto& at = child.counts.at;
-    child.onLog = replica.onTail(at.number, child.digest) && !diverged;
+    child.onLog = replica.onTail(at.number, child.digest) && !(flags & Report::kDiverged);
     child.sent = at.number;
     child.sentAt = 0;
     if (child.onLog && snapshotIsLess(child)) child.onLog = false;
     if (child.onLog) return push(name, child, now);
     const bool same = at == replica.position() && child.digest == replica.digest();
-    if (at <= replica.position() && !same) offer(name, child, now);
+    const auto own = replica.position().generation;
+    const bool unknown = (flags & Report::kContradicted) && own > 0 && at.generation > own && fresh(now);
+    if ((at <= replica.position() || unknown) && !same) offer(name, child, now);
   }
   void onReport(const std::string& from, const Report& r, Nanos now) {
-    if (std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end()) return;
+    if (std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end()) return void(++counters.repeated);
     if (r.flags & Report::kLook) {
       const bool takes =
           children.find(from) || (children.hasRoom(tree, s.fanOut) && from != parents.parent());
@@ -223,6 +239,7 @@
       if ((r.flags & Report::kMissing) && r.early > at && r.early <= child->sent) {  // a hole
         while (at < r.early && sendChanges(from, at, r.early, now)) {
         }
+        if (at < r.early) ++counters.deferred;  // it asks again
         return;
       }
       if (now - child->sentAt < kInFlight) return;  // on its way, for all that is known
@@ -230,7 +247,7 @@
     const bool waits = !child->onLog && now - child->offeredAt > Children::kRenew;
     if (fresh || (r.flags & (Report::kSubscribe | Report::kMissing)) || waits || lost ||
         r.number > child->sent)
-      settle(from, *child, r.flags & Report::kDiverged, now);
+      settle(from, *child, r.flags, now);
   }
   void onAsk(const std::string& from, const Ask& ask, Nanos now) {
     if (ask.pieceBytes < 64 || ask.pieceBytes > Ask::kMostPiece || ask.count == 0 ||
@@ -273,6 +290,7 @@
   }
   bool sendReport(const std::string& to, std::uint8_t flags, Nanos now, Kind kind = Kind::report) {
     if (mistrusts) flags |= Report::kDiverged;
+    if (contradicted(now)) flags |= Report::kContradicted;
     if (!send(to, write(report(flags), kind), Urgency::word, now)) {
       ++counters.deferred;
       return false;
@@ -311,6 +329,7 @@
       parentBefore = parents.parent();
       word_.reset();
       early.clear();
+      mistrusts = false;  // what the former one said of this one's register is not this one's word
       behindSince = 0, parentNumber = 0;
       reportedAt = now;  // it has said all with its subscription
       dirty = true;
@@ -348,6 +367,10 @@
     } else if (behindSince == 0) {
       behindSince = progressAt = now;
     }
+    if (level || old > s.staleAfter)
+      contradictedSince = 0;
+    else if (contradictedSince == 0)
+      contradictedSince = now;
     if (old < kNeverVouched) {
       word_ = Vouch{b.number, b.mark, now - old};
       settleVouch();
@@ -397,6 +420,7 @@
   }
   void advanced(Nanos now) {
     progressAt = now;
+    contradictedSince = 0;
     dirty = true;
     settleVouch();
     if (fetch && replica.position() >= Position{fetch->offer().generation, fetch->offer().number})
@@ -404,8 +428,9 @@
     pushAll(now);
     reportIfDue(now);
   }
-  bool wants(const Offer& o) const {
+  bool wants(const Offer& o, Nanos now) const {
     const Position at{o.generation, o.number};
+    if (o.generation > 0 && o.generation < replica.position().generation) return contradicted(now);
     return at > replica.position() || (at == replica.position() && o.digest != replica.digest());
   }
   void onOffer(const std::string& from, const Offer& o, Nanos now) {
@@ -414,7 +439,7 @@
       ++counters.broken;
       return;
     }
-    if (!wants(o)) {
+    if (!wants(o, now)) {
       ++counters.repeated;
       return;
     }
@@ -440,7 +465,7 @@
     const Offer o = fetch->offer();
     auto bytes = fetch->bytes();
     fetch.reset();
-    if (!wants(o)) return;
+    if (!wants(o, now)) return;
     if (Replica::hashOf(bytes) != o.hash ||
         !replica.restore(std::move(bytes), {o.generation, o.number}, o.hash)) {
       ++counters.broken;
@@ -468,8 +493,9 @@
   void fetchTick(Nanos now) {
     if (!fetch) return;
     if (fetch->givenUp(now)) {
+      const bool hasIt = fetch->answeredBy(parents.parent());
       fetch.reset();
-      return missing(now);
+      return hasIt ? missing(now) : leaveSlow(now);  // else it offers what nobody has, itself included
     }
     askPieces(now);
   }
@@ -481,6 +507,9 @@
     if (now - std::max(behindSince, progressAt) >= wait && now - askedAt >= gap && !fetch) missing(now);
     if (!ahead || fetch || now - progressAt < slowAfter) return;
     slowAfter = std::min(kMostSlow, 2 * slowAfter);
+    leaveSlow(now);
+  }
+  void leaveSlow(Nanos now) {
     progressAt = now;
     Parents::Words words;
     parents.leave(now, words, Parents::kAvoided / 2);
@@ -564,18 +593,24 @@
         return false;
       case Kind::nothing:
         if (const auto m = readNothing(bytes)) {
-          if (fetch && fetch->offer().hash == m->hash) fetch->nothing(from, m->busy, now);
+          if (fetch && fetch->offer().hash == m->hash)
+            fetch->nothing(from, m->busy, now);
+          else
+            ++counters.repeated;
           return true;
         }
         return false;
       case Kind::bye:
-        if (children.find(from)) dirty = true;
+        if (!children.find(from)) return ++counters.repeated, true;
+        dirty = true;
         children.remove(from);
         return true;
       case Kind::counts:
         if (const auto m = readReport(bytes)) {
           if (s.votes && std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end())
             voterCounts[from] = Counts::of(*m, now);
+          else
+            ++counters.repeated;
           return true;
         }
         return false;
@@ -588,8 +623,7 @@
     if (!s.votes) return;
     leader = leaderNow;
     led = !leader.empty();
-    doubtUntil = std::min(doubtUntil, now);  // it has just been said
-    if (led) vouch(now);
+    if (led && now >= doubtUntil) vouch(now);
     const auto before = replica.position();
     const bool connects = before.number + applied.size() == held.commands();
     if (connects && !applied.empty()) {
@@ -624,7 +658,8 @@
   bool led = false, vouched = false, mistrusts = false, dirty = true;
   std::optional<Vouch> word_;  // the parent's latest, as long as this one is not where it was
   Nanos vouchedAt = 0, tickAt = 0, treeAt = 0, roundAt = 0, doubtUntil = 0;
-  Nanos parentEvery = 0, behindSince = 0, progressAt = 0, slowAfter = kSlow, askedAt = 0, reportedAt = 0;
+  Nanos parentEvery = 0, behindSince = 0, progressAt = 0, slowAfter = kSlow, contradictedSince = 0,
+        askedAt = 0, reportedAt = 0;
   std::uint64_t parentNumber = 0;
   std::size_t turn = 0;
 };
