One block of deployed settings for the lab's module runs and the tests' fleet world

Need: the same settings stood in src/lab/scale/module_slopes.cpp and tests/fleet_world.hpp and could part unseen. Change: src/lab/deployed_settings.hpp is used by both; the target's constants and the computed model of connections are a header of their own, for the run that measures them.

--- a/src/lab/scale/module_slopes.cpp
+++ b/src/lab/scale/module_slopes.cpp
@@ -16,8 +16,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lab/deployed_settings.hpp"
 #include "lab/scale/fit.hpp"
-#include "platform/descriptor_shares.hpp"
+#include "lab/scale/target.hpp"
 #include "topazweir/aggregator.hpp"
 
 namespace topazweir::lab::scale {
@@ -26,12 +27,6 @@
 
 constexpr Nanos kUs = 1'000, kMs = 1'000'000, kSec = 1000 * kMs;
 
-// ---- the target ----
-
-constexpr int kAggregators = 2000, kLeafs = 9900, kParts = 94, kZones = 6;
-constexpr double kQueries = 240'000, kQueriesEach = kQueries / kAggregators;  // a second
-constexpr double kPartsEach = kQueriesEach * kParts;                          // a second
-
 double num(auto number) { return static_cast<double>(number); }
 
 double cpuNow() {  // of this process, s
@@ -48,19 +43,10 @@
 // 94 shards on 94 cells, one replica set each; times of the class by the target's 260 ms, of the slow start
 // as deployed today.
 Settings settingsOf(std::uint64_t seed) {
-  Settings s;
+  auto s = deployedSettings(kAggregators);
   s.seed = seed;
-  s.aggregators = kAggregators;
   s.number = static_cast<int>(seed % kAggregators);
-  s.tick = 1 * kMs;
   s.shards = s.cells = kParts, s.reach = 1;
-  s.maxAttempts = 4;
-  s.secondCopies = s.cancelling = s.retryAfter = true;
-  s.maxRetryAfter = 2 * kSec;
-  s.answerSlack = 5 * kMs;
-  s.drainGrace = 500 * kMs;
-  s.coldFrom = 0.22, s.coldFor = 17 * kSec;
-  s.tipMultiple = 4, s.tipWindow = 2 * kSec;
   QueryClass c;
   c.name = "query", c.aim = 260 * kMs, c.deadline = 800 * kMs, c.lateWorth = 0.3;
   s.classes = {c};
@@ -609,9 +595,6 @@
       "(budget "
       "0.1 reached by the latest tenth) %.0f\n",
       1 / part, 1 / alone(0.1), 1 / alone(1));
-  // Computed: uniform access, one part at a time on a connection, idle ones given up after 24 s (four fifths
-  // of connIdleNs); what is dialled anew is a part that finds no idle connection to its leaf.
-  constexpr double kIdle = 24, kPartTime = 0.020;
   std::printf(
       "\n| leafs | parts/s to a leaf from each | touched in 24 s | descriptors | slots for leafs | busy at "
       "once | hit rate | new/s each | standing at a leaf | new/s at a leaf | subset: leafs of a cell | held "
@@ -619,23 +602,14 @@
       "a leaf |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n");
   for (const int leafs : {200, 500, 1000, 2000, 3300, 5000, kLeafs})
     for (const std::size_t sockets : {std::size_t{256}, std::size_t{1024}}) {
-      const double rate = kPartsEach / leafs, touched = leafs * (1 - std::exp(-rate * kIdle));
-      const auto slots = num(platform::DescriptorShares::of(sockets, static_cast<std::size_t>(leafs)).nodes);
-      const double busy = kPartsEach * kPartTime;
-      // To `held` leafs one each, and a further one where a second part meets a busy one.
-      const auto wanted = [&](double held) {
-        const double each = busy / held;
-        return held + held * (each - 1 + std::exp(-each));
-      };
-      const double hit = std::clamp((slots - busy) / touched, 0.0, 1.0), dials = (1 - hit) * kPartsEach;
-      const double standing = std::min(slots, wanted(touched));
-      int kept = 0;
-      while ((kept + 1) * kParts <= leafs && wanted((kept + 1.0) * kParts) <= slots) ++kept;
-      std::printf("| %d | %.2f | %.0f | %zu | %.0f | %.0f | %.2f | %.0f | %.0f | %.0f | ", leafs, rate,
-                  touched, sockets, slots, busy, hit, dials, kAggregators * standing / leafs,
-                  kAggregators * dials / leafs);
+      const ConnectionModel m(leafs, sockets);
+      const double dials = m.dialsAPart() * kPartsEach;
+      std::printf("| %d | %.2f | %.0f | %zu | %.0f | %.0f | %.2f | %.0f | %.0f | %.0f | ", leafs,
+                  kPartsEach / leafs, m.touched, sockets, m.slots, m.busy, m.hit, dials,
+                  kAggregators * m.standing / leafs, kAggregators * dials / leafs);
+      const int kept = m.subsetOfCell();
       kept == 0 ? std::printf("none fits | |\n")
-                : std::printf("%d | %.0f, %.0f |\n", kept, wanted(kept * kParts),
+                : std::printf("%d | %.0f, %.0f |\n", kept, m.wanted(kept * kParts),
                               kAggregators * num(kept) * kParts / leafs);
     }
   std::printf("\nchanges: 7,800 a day, one in %.2f s; an hour missed: %.0f\n", 86400 / 7800.0, 7800 / 24.0);
--- a/tests/fleet_world.hpp
+++ b/tests/fleet_world.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "../src/lab/deployed_settings.hpp"
 #include "check.hpp"
 #include "topazweir/aggregator.hpp"
 
@@ -18,17 +19,8 @@
 constexpr Nanos kMs = 1'000'000, kSec = 1000 * kMs;
 
 inline Settings fleetSettings(int aggregators, int cells) {
-  Settings s;
-  s.aggregators = aggregators;
-  s.tick = 1 * kMs;
+  auto s = lab::deployedSettings(aggregators);
   s.shards = 2 * cells, s.cells = cells, s.reach = 3;
-  s.maxAttempts = 4;
-  s.secondCopies = s.cancelling = s.retryAfter = true;
-  s.maxRetryAfter = 2 * kSec;
-  s.answerSlack = 5 * kMs;
-  s.drainGrace = 500 * kMs;
-  s.coldFrom = 0.22, s.coldFor = 17 * kSec;
-  s.tipMultiple = 4, s.tipWindow = 2 * kSec;
   QueryClass c;
   c.name = "basket", c.aim = 500 * kMs, c.deadline = 1340 * kMs, c.lateWorth = 0.3;
   s.classes = {c};
