--- a/src/lab/scale/main.cpp
+++ b/src/lab/scale/main.cpp
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 #include <exception>
 
+#include "lab/scale/connections.hpp"
 #include "lab/scale/hollow.hpp"
 #include "lab/scale/module_slopes.hpp"
 #include "lab/scale/pure_slopes.hpp"
@@ -76,6 +77,19 @@
           "the module's figures are as predicted");
   });
 
+  ConnectionOptions connections;
+  command = app.add_subcommand("connections", "connections that an aggregator wants and holds, by leafs");
+  command->add_option("--sizes", connections.sizes, "leafs, fitted")->delimiter(',')->capture_default_str();
+  command->add_option("--largest", connections.largest, "leafs, compared with the prediction; 0: none")
+      ->capture_default_str();
+  command->add_option("--seed", connections.seeds)->delimiter(',')->capture_default_str();
+  command->add_option("--stretch", connections.stretch, "so many times slower than at the target")
+      ->capture_default_str();
+  command->add_option("--streams", connections.streams, "parts on a connection at once")
+      ->capture_default_str();
+  command->add_option("--seconds", connections.seconds, "counted at each size")->capture_default_str();
+  command->callback([&] { connectionRun(connections); });
+
   HollowOptions hollow;
   long periodMs = 1000;
   command = app.add_subcommand("hollow", "one process of hollow members, told what to do by lines");
--- a/src/lab/scale/report.hpp
+++ b/src/lab/scale/report.hpp
@@ -25,8 +25,8 @@
   broken() += !holds;
 }
 
-enum class Model { constant, linear, nLogN };
-inline constexpr const char* kModelNames[] = {"constant", "linear", "n log n"};
+enum class Model { constant, linear, nLogN, power };  // power: a line through the logarithms
+inline constexpr const char* kModelNames[] = {"constant", "linear", "n log n", "power, by ln"};
 
 // What is measured at some sizes, fitted, and compared at the largest, which is not part of the fit.
 struct Slope {
@@ -34,22 +34,29 @@
   std::vector<double> sizes{}, values{};
 
   void add(double size, double value) { sizes.push_back(size), values.push_back(value); }
-  double of(double size) const { return model == Model::nLogN ? size * std::log2(size) : size; }
+  double of(double size) const {
+    return model == Model::nLogN ? size * std::log2(size) : model == Model::power ? std::log(size) : size;
+  }
   Fit fit() const {
     if (model == Model::constant) {
       double sum = 0;
       for (const double value : values) sum += value;
       return {sum / static_cast<double>(values.size()), 0, 1};
     }
-    std::vector<double> x;
+    std::vector<double> x, y = values;
     for (const double size : sizes) x.push_back(of(size));
-    return fitLine(x, values);
+    if (model == Model::power)
+      for (double& value : y) value = std::log(value);
+    return fitLine(x, y);
+  }
+  double at(double size) const {
+    const double value = fit().at(of(size));
+    return model == Model::power ? std::exp(value) : value;
   }
-  double at(double size) const { return fit().at(of(size)); }
   // Prints prediction and outcome; over a quarter off: not understood.
   void compare(const std::string& what, double size, double came) const {
     const auto f = fit();
-    const double predicted = f.at(of(size)), off = offBy(predicted, came);
+    const double predicted = at(size), off = offBy(predicted, came);
     fmt::print(
         "{}: {} {:.4g} + {:.4g} x, R2 {:.4f}; at {:.0f} predicted {:.4g}, came {:.4g}, off by {:.0f}%\n",
         what, kModelNames[static_cast<int>(model)], f.intercept, f.slope, f.r2, size, predicted, came,
