--- a/src/lab/scale/herd.hpp
+++ b/src/lab/scale/herd.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,8 @@
   double sent = 0, sentBytes = 0, received = 0, receivedBytes = 0, unsent = 0, brokenMessages = 0;
   double connected = 0, accepted = 0, leftOut = 0, streamSent = 0, streamReceived = 0;
   double leastCommands = 0, mostCommands = 0;
-  double latest = 0;  // ms by which a loop was late, at most, since the last look
-  double proposed = 0;
+  double latest = 0;               // ms by which a loop was late, at most, since the last look
+  double proposed = 0, asked = 0;  // changes; whole registers asked for at a voter
   Stat operator-(const Stat& before) const;
   Stat& operator+=(const Stat& other);
 };
@@ -40,7 +41,11 @@
   std::string voter(int i, const std::string& line);
   // Starts all over this time, and waits until all know all; false: not within the limit.
   bool meet(double overSeconds, double limitSeconds);
-  Stat voters(), others();
+  // The same in two steps, for fleets side by side.
+  void begin(double overSeconds);
+  bool met(double limitSeconds);
+  Stat voters(), others();  // relays are among the others
+  Stat relays();
   bool wait(double limitSeconds, const std::function<bool()>& what);
   int leader();  // -1: none
   void sleep(double seconds) const;
@@ -54,6 +59,20 @@
   };
   Arrivals arrivals();
 
+  // Of one process's members that run, or of several.
+  struct Registers {
+    int first = 0;                   // member of the process
+    double least = 0, most = 0;      // commands
+    double age = 0;                  // s, the greatest; over 10^5: one was never vouched for
+    double fence = 0;                // of the coordinator's role, the least
+    std::set<std::string> hashes{};  // of those that differ
+  };
+  std::vector<Registers> registers();  // by process
+  struct Metered {                     // bytes of the one that had most in any second
+    double voterSent = 0, voterReceived = 0, memberSent = 0, memberReceived = 0;
+  };
+  Metered metered();  // since the last call; the first one begins
+
  private:
   struct Process {
     pid_t id = -1;
@@ -68,7 +87,10 @@
   std::string hear(Process& process) const;
   Stat stat(std::size_t from, std::size_t to);
 
+  int alone() const { return options_.voters + options_.relays; }  // members with a process of their own
+
   HollowOptions options_;
+  double begun_ = 0, over_ = 0;
   std::vector<Process> processes_;  // the voters' first
 };
 
--- a/src/lab/scale/real.cpp
+++ b/src/lab/scale/real.cpp
@@ -57,6 +57,7 @@
 
 RealProcesses::RealProcesses(const std::string& program, int count, const HollowOptions& fleet,
                              const std::string& folder) {
+  if (::access(program.c_str(), X_OK) != 0) throw std::runtime_error("no program: " + program);
   for (int i = 0; i < count; ++i) {
     const auto stem = fmt::format("{}/real-{}", folder, i);
     writeFiles(stem, i, fleet);
