--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -90,6 +90,9 @@
     }
   }
   Nanos age(Nanos now) const { return vouched ? std::max<Nanos>(0, now - vouchedAt) : kNeverVouched; }
+  bool isVoter(const std::string& name) const {
+    return std::find(s.voters.begin(), s.voters.end(), name) != s.voters.end();
+  }
   bool fresh(Nanos now) const { return age(now) <= s.staleAfter; }
   bool contradicted(Nanos now) const {
     return contradictedSince != 0 && now - contradictedSince > kContradicted;
@@ -209,7 +212,7 @@
     if ((at <= replica.position() || unknown) && !same) offer(name, child, now);
   }
   void onReport(const std::string& from, const Report& r, Nanos now) {
-    if (std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end()) return void(++counters.repeated);
+    if (isVoter(from)) return void(++counters.repeated);
     if (r.flags & Report::kLook) {
       const bool takes =
           children.find(from) || (children.hasRoom(tree, s.fanOut) && from != parents.parent());
@@ -607,7 +610,7 @@
         return true;
       case Kind::counts:
         if (const auto m = readReport(bytes)) {
-          if (s.votes && std::find(s.voters.begin(), s.voters.end(), from) != s.voters.end())
+          if (s.votes && isVoter(from))
             voterCounts[from] = Counts::of(*m, now);
           else
             ++counters.repeated;
--- a/src/grpc/backend.cpp
+++ b/src/grpc/backend.cpp
@@ -171,10 +171,7 @@
       link->session->reset(stream.stream, code);
     if (link->streams.empty()) link->idleSince = loop_.now();
     if (waiting_.count(link->address) > 0) {
-      const std::weak_ptr<bool> alive = alive_;
-      loop_.soon([this, alive, address = link->address] {
-        if (const auto still = alive.lock(); still && *still) pump(address);
-      });
+      soon([this, address = link->address] { pump(address); });
     }
   } else if (const auto server = servers_.find(stream.server); server != servers_.end()) {
     if (const auto queue = waiting_.find(server->second.address); queue != waiting_.end())
@@ -320,10 +317,7 @@
 // A call that was too long or too slow before its connection came up. Not at once: the session is in the
 // midst of its output.
 void Backend::keepSoon(const broker::AttemptId& id) {
-  const std::weak_ptr<bool> alive = alive_;
-  loop_.soon([this, alive, id] {
-    const auto still = alive.lock();
-    if (!still || !*still) return;
+  soon([this, id] {
     if (const auto at = streams_.find(id); at != streams_.end()) {
       const auto exchange = at->second.exchange;  // kept: the core may let go of it
       keep(*exchange);
@@ -331,6 +325,13 @@
   });
 }
 
+void Backend::soon(std::function<void()> what) {
+  const std::weak_ptr<bool> alive = alive_;
+  loop_.soon([alive, what = std::move(what)] {
+    if (const auto still = alive.lock(); still && *still) what();
+  });
+}
+
 void Backend::requestMore(Exchange& e) {
   for (int attempt = 0; attempt < e.attempts; ++attempt) {
     if (!e.call.isOut(attempt)) continue;
--- a/src/grpc/backend.hpp
+++ b/src/grpc/backend.hpp
@@ -87,6 +87,7 @@
   void report(const broker::AttemptId& id, const calls::Next& next);
   void drop(Stream& stream, std::uint32_t code);
   void keepSoon(const broker::AttemptId& id);
+  void soon(std::function<void()> what);  // from the loop, unless this one has gone by then
   void remove(http2::Session& session);
   void sweep();
 
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -169,6 +169,16 @@
   return std::find(who.begin(), who.end(), World::numberOf(name)) != who.end();
 }
 
+// The voters that are left once `led` tells of the next leader.
+std::vector<int> killLeader(World& w, const std::vector<int>& voters, World::Led& led) {
+  const int leader = World::numberOf(led.coordinator);
+  w.process(leader).kill();
+  auto others = voters;
+  std::erase(others, leader);
+  led = w.untilLed("its leader is killed", others, led.fence);
+  return others;
+}
+
 // Three voters, two zones of six members, more than the voters have room for: relays in between. Nobody can
 // ask for the register, so that what comes has come down the tree. A leader is killed, then a relay.
 void changesGoDownTheTree(World& w) {
@@ -196,10 +206,7 @@
   // Only now: a busy machine may have changed the leader since, and what came of that is no news any more.
   led = w.untilLed("a leader", voters, 0);
   int leader = World::numberOf(led.coordinator);
-  w.process(leader).kill();
-  auto others = voters;
-  std::erase(others, leader);
-  led = w.untilLed("its leader is killed", others, led.fence);
+  const auto others = killLeader(w, voters, led);
   CHECK(w.untilHeldBy(members, led));
   int neverAsked = 0;
   for (const int i : members) {
@@ -263,11 +270,7 @@
   w.untilStanding("cut off from the voters", away, "minority");
   for (const int i : away)
     w.untilTrue("its age is not told", [&] { return w.process(i).said("membership.stale age="); });
-  const int killed = World::numberOf(led.coordinator);
-  w.process(killed).kill();
-  auto others = voters;
-  std::erase(others, killed);
-  led = w.untilLed("its leader is killed", others, led.fence);
+  const auto others = killLeader(w, voters, led);
   CHECK(w.untilHeldBy(here, led));
   double least = 1e9;
   for (const int i : away) {
@@ -319,11 +322,7 @@
   });
   std::map<int, long> asked;
   for (const int i : members) asked[i] = w.counter(i, "register_asked");
-  const int killed = World::numberOf(led.coordinator);
-  w.process(killed).kill();
-  auto others = voters;
-  std::erase(others, killed);
-  led = w.untilLed("its leader is killed", others, led.fence);
+  killLeader(w, voters, led);
   w.path = [](int, int) { return Path{.unasked = true}; };
   CHECK(w.untilHeldBy(members, led));
   for (const int i : members)
@@ -339,10 +338,7 @@
   w.start(0, 4);
   w.untilOneView("all have met", all);
   auto led = w.untilLed("a first leader", voters, 0);
-  w.process(World::numberOf(led.coordinator)).kill();
-  auto others = voters;
-  std::erase(others, World::numberOf(led.coordinator));
-  led = w.untilLed("its leader is killed", others, led.fence);
+  const auto others = killLeader(w, voters, led);
   CHECK(w.untilHeldBy(members, led));
   const long before = w.counter(members.front(), "register_generation");
   CHECK(before > 0);
