gRPC: a retry that has waited past its window is not sent

Cause: the core tells each attempt the latest time to write it (AttemptOrder::writeBy), and grpc::Backend did not keep it: startQueued sent a queued attempt whenever a stream was free, and the session the head of a request whenever its connection was up. The module had ordered the retry at once, within the window. features::Backend did not keep the time either; its classes are safe, so no caller saw that.

Change: an attempt whose time passes before it is written ends there and then as not sent, whether it waits for a stream, for its connection or in the session; where its head is in the output of a connection whose peer does not read, that connection is closed. The call ends with its window and with the status of the attempt that may have run, not with that of the retry. The features backend checks the time before it writes.

--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -75,8 +75,9 @@
     last.trailers = makeStatusTrailers(verdict.code, verdict.words, std::nullopt);
   }
   // A generated status of a later attempt, such as a refused hedge, must not hide a status that the service
-  // itself gave to an earlier one.
-  const bool better = !last_ || last.fromBackend || !last_->fromBackend;
+  // itself gave to an earlier one. A retry that expired must not hide how the attempt before it ended, which
+  // may have run.
+  const bool better = !last_ || last.fromBackend || (!last_->fromBackend && e.ending != Ending::expired);
   if (better) last_ = std::move(last);
 }
 
--- a/src/calls/status.cpp
+++ b/src/calls/status.cpp
@@ -123,6 +123,8 @@
       return {Code::unavailable, "the backend did not answer in the attempt's time", Outcome::timedOut, true};
     case Ending::noStream:
       return {Code::unavailable, "no stream to the backend is free", Outcome::notSent, false};
+    case Ending::expired:
+      return {Code::unavailable, "the time to send the attempt has run out", Outcome::notSent, false};
     case Ending::tooLarge:
       return {Code::resourceExhausted, "larger than the limit", Outcome::error, true};
   }
--- a/src/calls/status.hpp
+++ b/src/calls/status.hpp
@@ -70,6 +70,7 @@
   lostAfterSend,   // the connection ended after the request was completely written
   silent,          // no answer within the attempt's time-out
   noStream,        // no connection or stream was available: nothing was sent
+  expired,         // the latest time to send it had passed while it waited: nothing was sent
   tooLarge         // a message or the header fields exceed their limit
 };
 
--- a/src/features/backend.cpp
+++ b/src/features/backend.cpp
@@ -106,6 +106,12 @@
 void Backend::writeRequest(PooledConnection& pooled) {
   if (!pooled.attempt) return;
   Attempt& attempt = attempts_.at(*pooled.attempt);
+  if (const Nanos by = attempt.order.writeBy; by > 0 && loop_.now() > by) {
+    const auto id = *pooled.attempt;
+    // An attempt that has asked for a page before this one has run.
+    const auto outcome = attempt.visited.size() > 1 ? Outcome::error : Outcome::notSent;
+    return finish(id, outcome, {}, "the time to send it has run out");
+  }
   pooled.connection->write("GET " + attempt.target +
                            " HTTP/1.1\r\nHost: " + servers_.at(pooled.server).address +
                            "\r\nAccept: application/geo+json, application/json\r\n\r\n");
--- a/src/grpc/backend.cpp
+++ b/src/grpc/backend.cpp
@@ -49,7 +49,10 @@
   *alive_ = false;
   loop_.cancel(sweepTimer_);
   for (const auto& timer : pushbackTimers_) loop_.cancel(timer);
-  for (auto& [id, stream] : streams_) loop_.cancel(stream.timer);
+  for (auto& [id, stream] : streams_) {
+    loop_.cancel(stream.timer);
+    loop_.cancel(stream.writeTimer);
+  }
 }
 
 ServerListUpdate Backend::servers(const config::GrpcPool& pool, ServerListUpdate::Scope scope) {
@@ -114,6 +117,8 @@
   stream.exchange = found->second;
   stream.id = id;
   stream.server = order.server;
+  stream.writeBy = order.writeBy;
+  if (isPastWriteBy(stream)) return endAttempt(id, {.ending = Ending::expired});
   if (!openStream(stream, server->second)) {
     // Queued, as it would be at the server. The queue is limited, since calls far back in it would only run
     // out of time.
@@ -121,6 +126,9 @@
     if (queue.size() >= server->second.maxQueued) return endAttempt(id, {.ending = Ending::noStream});
     queue.push_back(id);
   }
+  // A later `writeBy` needs no timer: the core ends the call before.
+  if (order.writeBy > 0 && order.writeBy < loop_.now() + order.wait)
+    stream.writeTimer = loop_.at(order.writeBy, [this, id] { onWriteByPassed(id); });
   if (const Nanos time = exchange.route->policy.attemptTimeout; time > 0 && time < order.wait)
     stream.timer = loop_.after(time, [this, id] {
       if (const auto at = streams_.find(id); at != streams_.end() && !at->second.exchange->call.committed())
@@ -129,6 +137,24 @@
   if (exchange.call.outgrown()) commitToNewest(exchange);
 }
 
+bool Backend::isPastWriteBy(const Stream& stream) const {
+  return stream.writeBy > 0 && loop_.now() > stream.writeBy;
+}
+
+void Backend::onWriteByPassed(const broker::AttemptId& id) {
+  const auto at = streams_.find(id);
+  if (at == streams_.end()) return;
+  const auto& stream = at->second;
+  if (stream.connection) {
+    auto& session = *stream.connection->session;
+    if (session.headWritten(stream.stream)) return;
+    // What has been serialised can be kept from the server only by closing the connection. onGone ends the
+    // attempts.
+    if (session.headSerialized(stream.stream)) return session.end(net::ConnectionEnd::silent);
+  }
+  endAttempt(id, {.ending = Ending::expired});
+}
+
 bool Backend::openStream(Stream& stream, const Server& server) {
   auto& exchange = *stream.exchange;
   auto* connection = connectionFor(server);
@@ -148,12 +174,14 @@
 void Backend::startQueued(const std::string& address) {
   auto at = queued_.find(address);
   while (at != queued_.end() && !at->second.empty()) {
-    const auto stream = streams_.find(at->second.front());
-    const auto server = stream == streams_.end() ? servers_.end() : servers_.find(stream->second.server);
-    if (server != servers_.end() && !openStream(stream->second, server->second)) return;
     const auto id = at->second.front();
+    const auto stream = streams_.find(id);
+    const auto server = stream == streams_.end() ? servers_.end() : servers_.find(stream->second.server);
+    const bool expired = stream != streams_.end() && isPastWriteBy(stream->second);
+    if (server != servers_.end() && !expired && !openStream(stream->second, server->second)) return;
     at->second.pop_front();
-    if (stream != streams_.end() && server == servers_.end()) endAttempt(id, {.ending = Ending::noStream});
+    const bool unsent = stream != streams_.end() && (expired || server == servers_.end());
+    if (unsent) endAttempt(id, {.ending = expired ? Ending::expired : Ending::noStream});
     at = queued_.find(address);
   }
   if (at != queued_.end()) queued_.erase(at);
@@ -168,6 +196,7 @@
 
 void Backend::releaseStream(Stream& stream, std::uint32_t code) {
   loop_.cancel(stream.timer);
+  loop_.cancel(stream.writeTimer);
   if (auto* connection = stream.connection) {
     if (connection->streams.erase(stream.stream) > 0 && code != NGHTTP2_NO_ERROR)
       connection->session->reset(stream.stream, code);
@@ -189,6 +218,7 @@
   const auto next =
       exchange->call.ended(id.attempt, how, std::move(trailers), exchange->deadline - loop_.now());
   const bool complete = how.ending == Ending::trailers;
+  if (how.ending == Ending::expired) ++counters_.expired;
   // Whether the stream has closed on both sides. If not, it is reset: while the request has not been sent
   // completely, it would stay open for ever.
   const bool closed = (complete && at->second.endSent) || how.ending == Ending::resetByPeer ||
--- a/src/grpc/backend.hpp
+++ b/src/grpc/backend.hpp
@@ -22,6 +22,7 @@
   std::uint64_t resets = 0;          // streams closed by the server without a complete response
   std::uint64_t refusedStreams = 0;  // not processed: above a GOAWAY's last id, or REFUSED_STREAM
   std::uint64_t cutStreams = 0;      // responses that ended without a grpc-status
+  std::uint64_t expired = 0;         // attempts not sent: the latest time to write them had passed
 };
 
 class Backend : public broker::Backend, public Upstream, private http2::Session::Handler {
@@ -79,7 +80,9 @@
     std::uint64_t sentOffset = 0;  // end of what has been sent of the request
     bool headReceived = false;
     bool endSent = false;  // the whole request has been sent
+    Nanos writeBy = 0;     // as in broker::AttemptOrder
     net::Loop::TimerId timer{};
+    net::Loop::TimerId writeTimer{};  // fires at `writeBy`
     bool isConnected() const { return connection && connection->session->up(); }
   };
 
@@ -98,6 +101,11 @@
   bool openStream(Stream& stream, const Server& server);
   // Opens streams for queued attempts, as far as streams are free.
   void startQueued(const std::string& address);
+  // Whether the latest time to write the attempt has passed.
+  bool isPastWriteBy(const Stream& stream) const;
+  // Ends the attempt if it has not been written: it waits for a stream, for its connection, or in the output
+  // of one whose peer does not read.
+  void onWriteByPassed(const broker::AttemptId& id);
   Stream* findStream(http2::Session& session, http2::StreamId id);
   // `id` by value: callers pass it from the stream that is erased here.
   void endAttempt(broker::AttemptId id, const calls::Ended& how, calls::Fields trailers = {});
--- a/src/grpc/grpc_service.cpp
+++ b/src/grpc/grpc_service.cpp
@@ -24,6 +24,7 @@
   to.resets += from.resets;
   to.refusedStreams += from.refusedStreams;
   to.cutStreams += from.cutStreams;
+  to.expired += from.expired;
 }
 
 }  // namespace
@@ -133,6 +134,7 @@
   line("backend_resets", backend.resets);
   line("backend_refused_streams", backend.refusedStreams);
   line("backend_cut_streams", backend.cutStreams);
+  line("expired_attempts", backend.expired);
   line("buffered_bytes", front_.pressure().held);
   line("buffered_bytes_peak", front_.pressure().peak);
   for (int code = 0; code < calls::kStatusCodeCount; ++code)
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -407,6 +407,11 @@
   return nghttp2_session_get_remote_settings(session_, NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS);
 }
 
+bool Session::headSerialized(StreamId stream) const {
+  const auto at = streams_.find(stream);
+  return at == streams_.end() || at->second.headSendBegun;
+}
+
 bool Session::headWritten(StreamId stream) const {
   const auto at = streams_.find(stream);
   if (at == streams_.end()) return true;
--- a/src/http2/session.hpp
+++ b/src/http2/session.hpp
@@ -106,6 +106,9 @@
   // Closes the connection at once, without onGone. A connection that has already ended still writes its last
   // frames.
   void close();
+  // Closes the connection at once and reports `why` through onGone. Output that the socket has not accepted
+  // is dropped.
+  void end(net::ConnectionEnd why) { connection_->end(why); }
 
   bool up() const { return connection_->up(); }
   // Streams that the peer allows to be open at once.
@@ -117,6 +120,9 @@
   // Client: whether the socket has taken the request's header fields. Until then the peer cannot have
   // processed the request.
   bool headWritten(StreamId stream) const;
+  // Client: whether the request's header fields are in the output of the connection, or have left it. Before
+  // that reset() takes the request back: nothing of it is ever written.
+  bool headSerialized(StreamId stream) const;
   // Client: no new streams can be opened, since the stream ids are used up or the peer has sent GOAWAY.
   bool exhausted() const { return exhausted_; }
 
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -33,7 +33,8 @@
   CHECK(codeFromHttpStatus(404) == Code::unimplemented && codeFromHttpStatus(503) == Code::unavailable &&
         codeFromHttpStatus(418) == Code::unknown);
   // Only these endings prove that the call did not run: RFC 9113 section 8.7.
-  const std::set<Ending> notRun = {Ending::aboveGoaway, Ending::lostBeforeSend, Ending::noStream};
+  const std::set<Ending> notRun = {Ending::aboveGoaway, Ending::lostBeforeSend, Ending::noStream,
+                                   Ending::expired};
   for (int e = 0; e <= static_cast<int>(Ending::tooLarge); ++e)
     for (std::uint32_t http2 = 0; http2 < 20; ++http2) {
       const Ended ended{static_cast<Ending>(e), http2, Code::unavailable, 503};
--- a/tests/ends_test.cpp
+++ b/tests/ends_test.cpp
@@ -9,6 +9,7 @@
 
 #include "check.hpp"
 #include "cuts.hpp"
+#include "features/backend.hpp"
 #include "http/server.hpp"
 #include "lab/fake_server.hpp"
 #include "platform/discovery.hpp"
@@ -187,6 +188,37 @@
   CHECK(got == std::vector<std::string>({"a.1", "a.3"}) && world.is("a.2", Outcome::notSent));
 }
 
+// The same for a feature server whose connection is established only after writeBy: it gets no request.
+void featureRetryKeepsItsWindow(Stage& stage) {
+  broker::Log log{[](auto, auto) {}, [] { return Nanos{0}; }};
+  Leaf server;
+  server.fill();
+  config::FeaturesConfig config;
+  config.maxSockets = 8;
+  config.connectTimeout = kAwaitTimeoutNs;
+  std::optional<Outcome> ended;
+  features::Backend backend(stage.loop, log, config,
+                            [&](const auto&, auto outcome, auto) { ended = outcome; });
+  const config::BranchGroup group{"g", {{server.listener.address().toString(), ServerState::up}}};
+  const auto list = backend.listUpdate({group}, ServerListUpdate::Scope::full);
+  const Nanos by = stage.loop.now() + kMs;
+  backend.start({{1, 0, 0},
+                 list.entries.front().server,
+                 "a.0",
+                 0,
+                 std::make_shared<const std::string>("/x"),
+                 30'000 * kMs,
+                 by});
+  await(stage, [&] { return stage.loop.now() > by; });
+  std::vector<Peer> peers;
+  await(stage, [&] {
+    if (server.asked()) peers.push_back(server.accept());
+    return ended.has_value();
+  });
+  CHECK(ended == Outcome::notSent);
+  for (auto& peer : peers) CHECK((peer.read(), peer.text.empty()));
+}
+
 // The connection breaks: a part that was not completely written cannot have run; one that was may have run.
 void brokenConnectionReportsWhatMayHaveRun(PoolWorld& world) {
   world.start("b.1");
@@ -591,6 +623,7 @@
   play(waitingPartsAreCalledBack);
   play(cancelledPartsAreNotSent);
   play(retryKeepsItsWindow);
+  play(featureRetryKeepsItsWindow);
   play(brokenConnectionReportsWhatMayHaveRun);
   for (const bool duplicateAnswer : {false, true}) play(closedIdleConnectionIsNotReused, duplicateAnswer);
   play(finalAnswersCount);
--- a/tests/grpc_faults_test.cpp
+++ b/tests/grpc_faults_test.cpp
@@ -144,6 +144,108 @@
   }
 }
 
+constexpr auto kWindow = std::chrono::milliseconds(400);  // keyedMs of the routes below
+constexpr auto kWindowSlack = std::chrono::milliseconds(50);
+
+// The routes of the next two cases: keyed moves, safe reports, and the pool's first keys.
+std::string keyedOperatorFile(const std::string& pool) {
+  return "grpc {\n listen = \"127.0.0.1:0\"\n connectTimeoutMs = 20000\n pool \"p\" {\n connections = 1\n" +
+         pool +
+         "}\n route \"moves\" {\n service = \"t.Moves\"\n pool = \"p\"\n effect = \"keyed\"\n keyedMs = 400\n"
+         " aimMs = 5000\n deadlineMs = 15000\n}\n"
+         " route \"reports\" {\n service = \"t.Reports\"\n pool = \"p\"\n effect = \"safe\"\n"
+         " aimMs = 10000\n deadlineMs = 20000\n}\n}\n";
+}
+
+// Guards against a duplicate: the retry of a keyed call that waits for a free stream was sent when one became
+// free, after the backends had forgotten the first attempt. Now the call ends with its window.
+void queuedRetriesKeepTheirWindow() {
+  // Each backend takes one call at a time. A report gets no response; the first move is reset.
+  std::atomic<bool> reporting{true};
+  const auto choose = [&](int) { return reporting ? Fault::unresponsive : Fault::resetInternal; };
+  ScriptedBackend a(choose), b(choose);
+  const std::vector<ScriptedBackend*> backends = {&a, &b};
+  Broker broker(keyedOperatorFile("streams = 1\n backend \"" + a.address + "\" {}\n backend \"" + b.address +
+                                  "\" {}\n"));
+  Client client(broker.address);
+  Call report("/t.Reports/Echo", {"m"}), move("/t.Moves/Echo", {"m"});
+  report.with("x-id", "report").start(*client.stub);
+  CHECK(eventually([&] { return a.calls + b.calls == 1; }));
+  reporting = false;
+  move.with("x-id", "move").start(*client.stub);
+  std::optional<Clock::time_point> first;
+  CHECK(eventually([&] {
+    for (auto* backend : backends)
+      if (const auto all = backend->arrivalsById(); all.count("move") > 0) first = all.at("move").front();
+    return first.has_value();
+  }));
+  std::this_thread::sleep_until(*first + kWindow + kWindowSlack);
+  report.cancel();  // frees the stream
+  report.wait();
+  move.wait();
+  CHECK(move.status.error_code() == StatusCode::INTERNAL && move.duration < 5000 * kMs);
+  Call later("/t.Reports/Echo", {"m"});  // served by the stream that a waiting retry would have taken
+  reporting = true;
+  later.with("x-id", "later").start(*client.stub);
+  CHECK(eventually([&] { return a.starts().count("later") + b.starts().count("later") == 1; }));
+  for (auto* backend : backends) {
+    auto arrivals = backend->arrivalsById();
+    for (const auto at : arrivals["move"]) CHECK(at - *first <= kWindow + kWindowSlack);
+  }
+  CHECK(broker.counter("expired_attempts") == 1 && broker.counter("backend_streams") == 1);
+  later.cancel();
+  later.wait();
+}
+
+// The same for a retry that waits for its connection to be established.
+void connectingRetriesKeepTheirWindow() {
+  Poco::Net::ServerSocket full(Poco::Net::SocketAddress("127.0.0.1", 0), 1);
+  std::vector<Poco::Net::StreamSocket> fillers(4);
+  for (auto& filler : fillers) filler.connectNB(full.address());
+  ScriptedBackend resets([](int) { return Fault::resetInternal; });
+  const auto file = [&](const std::string& stateOfFull) {
+    return keyedOperatorFile("backend \"" + resets.address + "\" {}\n backend \"" +
+                             full.address().toString() + "\" { state = \"" + stateOfFull + "\" }\n");
+  };
+  Broker broker(file("draining"));
+  Client client(broker.address);
+  Call known("/t.Moves/Echo", {"m"});  // the module has learned of a fault at the backend that resets
+  known.run(*client.stub);
+  broker.reload(file("ready"));
+  std::vector<std::unique_ptr<Call>> moves;
+  for (int i = 0; i < 10; ++i) {
+    moves.push_back(std::make_unique<Call>("/t.Moves/Echo", std::vector<std::string>{"m"}));
+    moves.back()->with("x-id", std::to_string(i)).start(*client.stub);
+  }
+  std::this_thread::sleep_for(kWindow + kWindowSlack);
+  std::vector<Poco::Net::StreamSocket> accepted;
+  std::unique_ptr<RawConnection> established;
+  while (!established) {
+    CHECK(full.poll(Poco::Timespan(20, 0), Poco::Net::Socket::SELECT_READ));
+    accepted.push_back(full.acceptConnection());
+    const auto peer = accepted.back().peerAddress();
+    const bool filler = std::any_of(fillers.begin(), fillers.end(),
+                                    [&](const auto& socket) { return socket.address() == peer; });
+    if (!filler) established = std::make_unique<RawConnection>(::dup(accepted.back().impl()->sockfd()));
+  }
+  established->isServer = true;
+  const auto starts = resets.starts();
+  while (const auto frame = established->readFrame(200)) {
+    if (frame->type != kHeadersFrame) continue;
+    const auto head = established->decodeHeaders(frame->payload);
+    const std::string id(calls::find(head, "x-id").value_or(""));
+    // A first attempt may come late, a retry may not.
+    CHECK(starts.count(id) == 0);
+  }
+  CHECK(broker.counter("expired_attempts") > 0);
+  established.reset();
+  accepted.clear();
+  for (auto& move : moves) {
+    move->wait();
+    CHECK(move->ends == 1 && !move->status.ok());
+  }
+}
+
 // A GOAWAY with calls above and below its last stream id: those below succeed, those above are retried
 // elsewhere.
 void goawayDuringCalls() {
@@ -433,6 +535,8 @@
   safeCallsAreRetriedElsewhere();
   connectionsNeverEstablished();
   retryPushback();
+  queuedRetriesKeepTheirWindow();
+  connectingRetriesKeepTheirWindow();
   goawayDuringCalls();
   halfOfBackendsFail();
   abusiveClients();
--- a/tests/h2_peer.hpp
+++ b/tests/h2_peer.hpp
@@ -267,10 +267,16 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     return arrivals_;
   }
+  // When each call was received, by its metadata x-id.
+  std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> arrivalsById() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return arrivalsById_;
+  }
   // How many times each call was received, by its metadata x-id.
   std::map<std::string, int> starts() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return starts_;
+    std::map<std::string, int> out;
+    for (const auto& [id, times] : arrivalsById()) out[id] = static_cast<int>(times.size());
+    return out;
   }
 
  private:
@@ -306,7 +312,7 @@
         {
           const std::lock_guard<std::mutex> lock(mutex_);
           arrivals_.push_back(std::chrono::steady_clock::now());
-          ++starts_[std::string(calls::find(head, "x-id").value_or(""))];
+          arrivalsById_[std::string(calls::find(head, "x-id").value_or(""))].push_back(arrivals_.back());
         }
         open[f->stream] = fault;
       }
@@ -410,7 +416,7 @@
   std::atomic<bool> stop_{false};
   std::mutex mutex_;
   std::vector<std::chrono::steady_clock::time_point> arrivals_;
-  std::map<std::string, int> starts_;
+  std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> arrivalsById_;
   std::thread acceptor_;
   std::vector<std::thread> threads_;
 };
