SIGTERM: requests of every front get their final answer before the process ends

Cause: Program::drain ends what is open 0.25 s before the platform's kill, but told this time to the platform's broker only; finishShutdown stops the loop 0.15 s after it whatever the other fronts have open. Their brokers went by the clients' deadlines, gRPC's front by its drain time.

Change: the time is told to the OGC front's broker and to the brokers of all gRPC pools, also those that a reload starts after the signal; gRPC's drain ends then at the latest, with UNAVAILABLE. Half-written requests of the OGC front get 408 then, as the platform's do. ended_with_open counts the clients of all fronts. Without the platform's part nothing changes: there the process waits for each front.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -414,27 +414,49 @@
     for (const auto& c : platform_->config().terms.settings.classes) longest = std::max(longest, c.deadline);
     answeredBy_ =
         loop_.now() + std::min(longest, kMaxCountedDeadline) + kMinTimeToKill - kFinalAnswersBeforeKill;
-    platform_->setShutdownDeadline(answeredBy_);
+    setShutdownDeadline(answeredBy_);
   }
   if (fleet_) hasSuccessor ? fleet_->stop() : fleet_->says(membership::Duty::leaving);
   if (grpc_) grpc_->front().drain();
   loop_.after(hasSuccessor ? kIdleAfterTerm : kAcceptAfterTerm, [this] { finishShutdown(); });
 }
 
+// The platform kills the process as a whole, so its time holds for every front.
+void Program::setShutdownDeadline(Nanos at) {
+  platform_->setShutdownDeadline(at);
+  if (features_) features_->setShutdownDeadline(at);
+  if (grpc_) grpc_->setShutdownDeadline(at);
+}
+
+void Program::stopAccepting(bool rejectUnfinished) {
+  const auto stop = [&](http::Server& server) {
+    server.stopAccepting();
+    if (rejectUnfinished) server.rejectUnfinished();
+  };
+  if (platform_) stop(platform_->front().server());
+  if (features_) stop(features_->server());
+  if (grpc_) grpc_->front().stopAccepting();
+}
+
+bool Program::quiet() const {
+  return (!platform_ || platform_->quiet()) && (!features_ || features_->quiet()) &&
+         (!grpc_ || grpc_->front().quiet());
+}
+
+std::size_t Program::clientConnections() const {
+  return (platform_ ? platform_->front().server().connections() : 0) +
+         (features_ ? features_->server().connections() : 0) + (grpc_ ? grpc_->front().connections() : 0);
+}
+
 // Polled after drain(): stops the loop once every accepted request is answered, and the answers are written
 // completely and read by the clients. With the platform's part it stops at the latest before the platform
 // kills the process.
 void Program::finishShutdown() {
-  if (platform_) platform_->front().server().stopAccepting();
   const bool late = platform_ && loop_.now() >= answeredBy_;
-  if (late) platform_->front().server().rejectUnfinished();
-  if (features_) features_->server().stopAccepting();
-  if (grpc_) grpc_->front().stopAccepting();
-  const bool idle = (!platform_ || platform_->quiet()) && (!grpc_ || grpc_->front().quiet()) &&
-                    (!features_ || (features_->broker().open() == 0 && features_->server().quiet()));
+  stopAccepting(late);
+  const bool idle = quiet();
   if (idle || (late && loop_.now() >= answeredBy_ + kFinalWriteTime)) {
-    if (!idle)
-      log_.line("ended_with_open", "clients=" + std::to_string(platform_->front().server().connections()));
+    if (!idle) log_.line("ended_with_open", "clients=" + std::to_string(clientConnections()));
     std::cerr << counters() << std::flush;
     if (fleet_) fleet_->leave();
     if (ops_) ops_->ended();
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -42,6 +42,14 @@
   void reloadPlatform();
   void reloadOperatorFiles();
   void pollSignals();
+  // By when every open request of every front has its final answer. Only with the platform's part.
+  void setShutdownDeadline(Nanos at);
+  // Closes the listeners of all fronts. `rejectUnfinished`: requests that have not arrived in full are
+  // rejected.
+  void stopAccepting(bool rejectUnfinished);
+  // Every accepted request is answered, and its client has read the answer.
+  bool quiet() const;
+  std::size_t clientConnections() const;
   void finishShutdown();
   void startPlatform();
   void startMembership();
--- a/src/features/features_service.hpp
+++ b/src/features/features_service.hpp
@@ -25,9 +25,14 @@
   void updateServers(const std::vector<config::BranchGroup>& groups) {
     broker_.updateServers(backend_.listUpdate(groups, ServerListUpdate::Scope::full));
   }
+  // The process shuts down: all open requests have their final answer by then.
+  void setShutdownDeadline(Nanos at) { broker_.setShutdownDeadline(at); }
+  // No request is open, and all answers have been written whole and read by clients that still read.
+  bool quiet() const { return broker_.open() == 0 && front_.server().quiet(); }
   const config::FeaturesConfig& config() const { return config_; }
   const broker::Broker& broker() const { return broker_; }
   http::Server& server() { return front_.server(); }
+  const http::Server& server() const { return front_.server(); }
 
  private:
   config::FeaturesConfig config_;
--- a/src/features/front.hpp
+++ b/src/features/front.hpp
@@ -17,6 +17,7 @@
   // All arguments must outlive the front.
   Front(net::Loop& loop, broker::Log& log, const config::FeaturesConfig& config, broker::Broker& broker);
   http::Server& server() { return server_; }
+  const http::Server& server() const { return server_; }
 
  private:
   struct OpenRequest {
--- a/src/grpc/core.hpp
+++ b/src/grpc/core.hpp
@@ -36,6 +36,8 @@
   void updateServers(const config::GrpcPool& pool) {
     broker_.updateServers(backend_.servers(pool, ServerListUpdate::Scope::full));
   }
+  // The process shuts down: all open calls have their final status by then.
+  void setShutdownDeadline(Nanos at) { broker_.setShutdownDeadline(at); }
   // Whether this core can serve the pool under this configuration, with an updated server list alone.
   bool fits(const config::GrpcConfig& config, const config::GrpcPool& pool) const {
     return fixedSettings_ == fixedSettingsOf(config, pool);
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -26,6 +26,8 @@
 constexpr int kListenBacklog = 512;
 // Longer bodies of health checks are refused.
 constexpr std::size_t kMaxHealthRequestBytes = 1024;
+// Status message of calls that are ended by the shutdown.
+constexpr std::string_view kGoingAwayMessage = "the broker is going away";
 // A longer x-request-id of a client is ignored.
 constexpr std::size_t kMaxRequestIdBytes = 64;
 
@@ -329,7 +331,17 @@
   const bool overdue = answer.timedOut || (callClass != calls::CallResult::answered &&
                                            loop_.now() + kDeadlineMarginNs >= exchange.deadline);
   auto final = exchange.call.finish(callClass, overdue, answer.retryAfter);
-  if (exchange.frontFinal) final = *exchange.frontFinal;
+  // The core ends what is still open when the shutdown's time is over, and refuses what comes later.
+  const bool cutByShutdown = loop_.now() >= drainDeadline_ && callClass != calls::CallResult::answered;
+  if (exchange.frontFinal) {
+    final = *exchange.frontFinal;
+  } else if (cutByShutdown && !final.fromBackend) {
+    ++counters_.cutAtDrain;
+    final.code = calls::Code::unavailable;
+    final.trailers =
+        calls::makeStatusTrailers(final.code, kGoingAwayMessage,
+                                  answer.retryAfter > 0 ? std::optional(answer.retryAfter) : std::nullopt);
+  }
   logCall(exchange, final);
   sendFinal(exchange, std::move(final));
 }
@@ -432,7 +444,7 @@
   closing_ = true;
   setListening(false);
   listener_.close();
-  drainDeadline_ = loop_.now() + plan_->config.drain;
+  drainDeadline_ = std::min(drainDeadline_, loop_.now() + plan_->config.drain);
   for (auto& [session, client] : clients_) session->shutdown();
 }
 
@@ -448,14 +460,14 @@
     exchange->longOpen = true;
     exchange->upstream->commitToNewest(*exchange);
   }
-  if (closing_ && now >= drainDeadline_) {
+  if (now >= drainDeadline_) {
     std::vector<std::shared_ptr<Exchange>> open;
     for (const auto& [session, client] : clients_)
       for (const auto& [id, exchange] : client->streams)
         if (!exchange->trailers) open.push_back(exchange);
     for (const auto& exchange : open) {
       ++counters_.cutAtDrain;
-      fail(*exchange, calls::Code::unavailable, "the broker is going away");
+      fail(*exchange, calls::Code::unavailable, kGoingAwayMessage);
     }
   }
   if (!pressure_.full()) return;
--- a/src/grpc/front.hpp
+++ b/src/grpc/front.hpp
@@ -5,7 +5,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketNotification.h>
 
+#include <algorithm>
 #include <array>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -26,7 +28,7 @@
   std::uint64_t cancelled = 0;   // by their clients
   std::uint64_t floods = 0;      // connections ended with ENHANCE_YOUR_CALM
   std::uint64_t health = 0;      // health checks
-  std::uint64_t cutAtDrain = 0;  // still open when the drain time had passed
+  std::uint64_t cutAtDrain = 0;  // ended because the time to drain was over
   std::array<std::uint64_t, calls::kStatusCodeCount> statuses{};  // final statuses, by code
 };
 
@@ -50,6 +52,8 @@
   // Starts the graceful shutdown: no new connections, GOAWAY to the open ones; calls still open after the
   // drain time end with UNAVAILABLE.
   void stopAccepting();
+  // Calls still open at `at` end with UNAVAILABLE, also if the drain time is longer.
+  void setShutdownDeadline(Nanos at) { drainDeadline_ = std::min(drainDeadline_, at); }
   // After stopAccepting(): all calls are answered and all connections closed.
   bool quiet() const { return clients_.empty(); }
   Poco::Net::SocketAddress address() const { return listener_.address(); }
@@ -124,7 +128,8 @@
   bool listening_ = false;
   bool draining_ = false;  // health checks answer NOT_SERVING
   bool closing_ = false;   // stopAccepting() was called
-  Nanos drainDeadline_ = 0;
+  // When open calls are ended; max: no shutdown has begun.
+  Nanos drainDeadline_ = std::numeric_limits<Nanos>::max();
 };
 
 }  // namespace topazweir::grpc
--- a/src/grpc/grpc_service.cpp
+++ b/src/grpc/grpc_service.cpp
@@ -50,6 +50,7 @@
           loop_, log_, config, pool,
           [this](Exchange& exchange, const auto& answer) { front_.onCallFinished(exchange, answer); }));
       core = cores_.back().get();
+      core->setShutdownDeadline(shutdownDeadline_);
     }
     next[pool.name] = core;
     byPool.push_back(core);
@@ -70,6 +71,12 @@
   return keys;
 }
 
+void GrpcService::setShutdownDeadline(Nanos at) {
+  shutdownDeadline_ = at;
+  front_.setShutdownDeadline(at);
+  for (const auto& core : cores_) core->setShutdownDeadline(at);
+}
+
 void GrpcService::destroyIdleCores() {
   loop_.cancel(destroyTimer_);
   const auto isCurrent = [&](const Core* core) {
--- a/src/grpc/grpc_service.hpp
+++ b/src/grpc/grpc_service.hpp
@@ -1,6 +1,7 @@
 // The gRPC service, enabled by the block "grpc" of the operator file: the front and the cores behind it.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <vector>
@@ -21,6 +22,10 @@
   // keys that take effect only after a restart and keep their old values until then.
   std::vector<std::string> reload(config::GrpcConfig newConfig);
 
+  // The process shuts down: all open calls, and those accepted later, have their final status by then, also
+  // if the drain time is longer.
+  void setShutdownDeadline(Nanos at);
+
   const config::GrpcConfig& config() const { return plan_->config; }
   Front& front() { return front_; }
   const Front& front() const { return front_; }
@@ -52,6 +57,7 @@
   broker::Counters destroyedCounters_;
   BackendCounters destroyedBackendCounters_;
   Front front_;
+  Nanos shutdownDeadline_ = std::numeric_limits<Nanos>::max();  // max: none
   net::Loop::TimerId destroyTimer_{};
 };
 
--- a/src/platform/platform_service.hpp
+++ b/src/platform/platform_service.hpp
@@ -38,6 +38,7 @@
 
   const config::PlatformConfig& config() const { return config_; }
   PlatformFront& front() { return *front_; }
+  const PlatformFront& front() const { return *front_; }
   const broker::Broker& broker() const { return broker_; }
   const Directory& directory() const { return directory_; }
   const NodePool& pool() const { return pool_; }
--- a/tests/grpc_wire_test.cpp
+++ b/tests/grpc_wire_test.cpp
@@ -386,6 +386,35 @@
   CHECK(broker->counter("cut_at_drain") == 1);
 }
 
+// Guards against calls that end without a status: the time by which the process must have answered holds also
+// where the drain time is longer, and for a core that a reload creates after the shutdown has begun.
+void shutdownDeadlineHolds() {
+  Server server;
+  const auto file = [&](const std::string& more) {
+    return operatorFile("drainMs = 20000\n" + more + poolBlock({&server}) + safeRoute());
+  };
+  Broker broker(file(""));
+  Client client(broker.address);
+  Call before("/t.T/Hang", {"a"}), after("/t.T/Hang", {"a"}), refused("/t.T/Hang", {"a"});
+  before.start(*client.stub);
+  CHECK(eventually([&] { return server.service.calls == 1; }));
+  broker.runOnLoop([](grpc::GrpcService& side) {
+    side.setShutdownDeadline(net::Loop().now() + 1000 * kMs);
+    return 0;
+  });
+  broker.reload(file("connectTimeoutMs = 300\n"));
+  CHECK(broker.counter("cores") == 2);
+  after.start(*client.stub);
+  for (auto* call : {&before, &after}) {
+    call->wait();
+    CHECK(call->status.error_code() == ::grpc::StatusCode::UNAVAILABLE && call->duration < 8000 * kMs);
+  }
+  refused.run(*client.stub);
+  CHECK(refused.status.error_code() == ::grpc::StatusCode::UNAVAILABLE &&
+        !refused.trailer("grpc-retry-pushback-ms").empty());
+  CHECK(broker.counter("cut_at_drain") >= 2 && broker.counter("open") == 0);
+}
+
 void messageSizeLimit() {
   Server server;
   Broker broker(
@@ -417,5 +446,6 @@
   reloadDuringCalls();
   healthChecks();
   gracefulShutdown();
+  shutdownDeadlineHolds();
   messageSizeLimit();
 }
--- a/tests/processes/aggregator.hpp
+++ b/tests/processes/aggregator.hpp
@@ -52,6 +52,7 @@
     ops.push_back(lab::freeAddress());
     Process::Plan plan;
     plan.program = program_;
+    plan.words = arguments;
     plan.log = folder_ + "/log." + std::to_string(ops.size());
     plan.set = {{"NODE_CONFIG", folder_ + "/config.json"},
                 {"NODE_OPS", ops.back()},
@@ -117,6 +118,7 @@
   std::vector<std::unique_ptr<CountingLeaf>> speakers;  // the leafs
   std::vector<std::unique_ptr<Process>> processes;      // in the order of their start
   std::vector<std::string> ops;                         // the operators' address of each process
+  std::vector<std::string> arguments;                   // command line of the processes started from now on
 
  private:
   bool listens(std::size_t process) {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -46,6 +46,38 @@
   CHECK(world.settle() == 0 && world.asked() > 200);
 }
 
+struct SilentServer : lab::FakeProtocol {
+  std::optional<std::string> reply(std::string&, lab::Fault) override { return std::nullopt; }
+};
+
+// Guards against requests without any answer: the old process of an upgrade ended over the open requests of
+// the features front. Here their server accepts them and never responds.
+void otherFrontsAreAnsweredDuringUpgrade(AggregatorProcesses& world) {
+  SilentServer speaker;
+  lab::FakeServer server(world.loop, speaker, lab::Fault::none);
+  const auto features = lab::freeAddress();
+  const auto file = world.temporary() + "/features.json";
+  std::ofstream(file) << R"({"listen":")" << features << R"(","deadlineMs":30000,"aimMs":10000,)"
+                      << R"("collections":[{"id":"branches"}],"groups":[{"name":"g","servers":[{"address":")"
+                      << server.address() << R"("}]}]})";
+  world.arguments = {"--features", file};
+  world.start();
+  world.untilReady(0);
+  lab::Client open(world.loop, features, "GET /collections/branches/items HTTP/1.1\r\nHost: a\r\n\r\n");
+  open.stopsLoop = false;
+  world.until("the open request", [&] {
+    world.processes[0]->signal(SIGUSR1);
+    return world.processes[0]->said("features_sent 1");
+  });
+  world.start();
+  world.untilReady(1);
+  world.processes[0]->terminate();
+  world.until("the answer", [&] { return open.done(); });
+  CHECK(open.status == 503 && !open.retryAfter.empty());
+  world.until("the end of the old process", [&] { return world.processes[0]->over(); });
+  CHECK(world.processes[0]->exited() == 0);
+}
+
 // The new process is killed before it is ready, the state folder holds corrupted records, and the old process
 // is killed after a later one is ready. Commands given to any of them stay in force, and the aggregator keeps
 // serving.
@@ -169,6 +201,7 @@
 int main(int, char** argv) {
   using namespace topazweir::test;
   play(argv[1], "upgrade", 3, upgradesLoseNoRequests);
+  play(argv[1], "fronts", 1, otherFrontsAreAnsweredDuringUpgrade);
   play(argv[1], "kills", 2, killsDuringUpgrade);
   play(argv[1], "drains", 1, drainExtendsToNewProcess);
   play(argv[1], "rude", 1, misbehavingOperatorsDoNotBlockCommands);
