Broker: the first attempt of a hedged keyed part keeps the window, too

A part of a by_key class could be applied twice: its first attempt waits for a connection, its hedge runs, and the first one is written when the servers have forgotten the hedge.

Cause: AttemptSender::writeBy counted keyedWindow from the attempts before the one to be sent, so a first attempt could be written until its request was due, although its hedge is ordered while it is out.

Change: where the class may be hedged the attempt itself counts, so that all attempts of a part that may run are written within one window.

Tests: hedgedKeyedAttemptsKeepTheirWindow failed before: with a window of 400 ms the first attempt could be written until 1,000 ms. The existing case keyedRetriesKeepTheirWindow expected just that (writeBy equal to the due time of a first attempt) with hedging on; it now runs without hedging with the same values, and with hedging it expects the earlier ones. ctest broker passed.

--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -5,13 +5,16 @@
 namespace topazweir::broker {
 
 // Servers drop a duplicate of a keyed part only within keyedWindow after the first attempt that may have run,
-// so an attempt that still waits for a connection must not be written later than that.
+// so an attempt that still waits for a connection must not be written later than that. Where the part may be
+// hedged, this holds for a first attempt, too: it may still wait when its hedge has run.
 Nanos AttemptSender::writeBy(const OpenRequest& open, const OpenPart& part) const {
   const auto& cls = terms_.settings.classes[static_cast<std::size_t>(open.request.queryClass)];
   if (cls.effect != Effect::keyed) return open.due;
-  const auto first = std::find_if(part.attempts.begin(), part.attempts.end() - 1,
-                                  [](const Attempt& attempt) { return attempt.mayHaveRun(); });
-  return first == part.attempts.end() - 1 ? open.due : std::min(open.due, first->sentAt + cls.keyedWindow);
+  const bool mayBeHedged = terms_.settings.hedging && cls.copies;
+  const auto end = part.attempts.end() - (mayBeHedged ? 0 : 1);  // the last one is this attempt
+  const auto first =
+      std::find_if(part.attempts.begin(), end, [](const Attempt& attempt) { return attempt.mayHaveRun(); });
+  return first == end ? open.due : std::min(open.due, first->sentAt + cls.keyedWindow);
 }
 
 std::optional<AttemptId> AttemptSender::send(const AttemptId& id, const Send& order, Nanos now) {
