gRPC: a test of retries behind an unread upload; a counter of unwritten bytes

Cause: of the places where a retry can wait past its window, two had no test: the session, which serialises no more than 256 KiB ahead, and the output of a connection whose backend does not read. What waits there could not be seen either.

Change: retriesBehindUnreadUploadKeepTheirWindow fills the sockets to a backend that does not read with an upload, once so far that the head of a retry is in the output already and once beyond what is serialised ahead, and then reads all that comes. New counter grpc_backend_unwritten_bytes, which the test waits for.

--- a/src/grpc/backend.cpp
+++ b/src/grpc/backend.cpp
@@ -187,6 +187,12 @@
   if (at != queued_.end()) queued_.erase(at);
 }
 
+std::size_t Backend::unwrittenBytes() const {
+  std::size_t sum = 0;
+  for (const auto& [session, connection] : connections_) sum += session->backlogBytes();
+  return sum;
+}
+
 void Backend::cancel(const broker::AttemptId& id) {
   const auto at = streams_.find(id);
   if (at == streams_.end()) return;
--- a/src/grpc/backend.hpp
+++ b/src/grpc/backend.hpp
@@ -54,6 +54,8 @@
   std::size_t connections() const { return connections_.size(); }
   // Attempts, including those that wait for a stream.
   std::size_t streams() const { return streams_.size(); }
+  // Bytes for the servers that their sockets have not taken yet.
+  std::size_t unwrittenBytes() const;
   const BackendCounters& counters() const { return counters_; }
 
  private:
--- a/src/grpc/grpc_service.cpp
+++ b/src/grpc/grpc_service.cpp
@@ -113,10 +113,12 @@
   BackendCounters backend = destroyedBackendCounters_;
   std::size_t connections = 0;
   std::size_t streams = 0;
+  std::size_t unwrittenBytes = 0;
   for (const auto& core : cores_) {
     add(backend, core->backend().counters());
     connections += core->backend().connections();
     streams += core->backend().streams();
+    unwrittenBytes += core->backend().unwrittenBytes();
   }
   std::string out = broker::print(counters(), prefix);
   const auto line = [&](std::string_view name, std::uint64_t value) {
@@ -136,6 +138,7 @@
   line("client_streams", front_.streams());
   line("backend_connections", connections);
   line("backend_streams", streams);
+  line("backend_unwritten_bytes", unwrittenBytes);
   line("backend_connections_opened", backend.connectionsOpened);
   line("backend_goaways", backend.goaways);
   line("backend_resets", backend.resets);
--- a/tests/grpc_faults_test.cpp
+++ b/tests/grpc_faults_test.cpp
@@ -149,7 +149,8 @@
 
 // The routes of the next two cases: keyed moves, safe reports, and the pool's first keys.
 std::string keyedOperatorFile(const std::string& pool) {
-  return "grpc {\n listen = \"127.0.0.1:0\"\n connectTimeoutMs = 20000\n pool \"p\" {\n connections = 1\n" +
+  return "grpc {\n listen = \"127.0.0.1:0\"\n connectTimeoutMs = 20000\n windowBytes = 16000000\n pool \"p\" "
+         "{\n connections = 1\n" +
          pool +
          "}\n route \"moves\" {\n service = \"t.Moves\"\n pool = \"p\"\n effect = \"keyed\"\n keyedMs = 400\n"
          " aimMs = 5000\n deadlineMs = 15000\n}\n"
@@ -246,6 +247,58 @@
   }
 }
 
+// The same for a retry whose connection is established, but whose backend does not read: an upload has filled
+// the sockets on the way. Up to `unwritten` bytes of it wait in the broker: below what a session serialises
+// ahead the head of a retry is behind them in the output already, above it still waits in the session.
+void retriesBehindUnreadUploadKeepTheirWindow(std::uint64_t unwritten) {
+  constexpr std::size_t kMessageBytes = 60'000;
+  constexpr int kMoveDeadlineMs = 3000;
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  ScriptedBackend resets([](int) { return Fault::resetInternal; });
+  const auto file = [&](const std::string& stateOfResets) {
+    return keyedOperatorFile("backend \"" + resets.address + "\" { state = \"" + stateOfResets +
+                             "\" }\n backend \"" + listener.address().toString() + "\" {}\n");
+  };
+  Broker broker(file("draining"));
+  RawClient uploader(broker.address);
+  CHECK(uploader.connection.awaitFrame(kSettingsFrame, 5000).has_value());
+  uploader.connection.send(encodeFrame(kSettingsFrame, kAckFlag, 0));  // opens the wider window
+  auto head = RawClient::head("/t.Reports/Sum");
+  uploader.connection.send(uploader.connection.headersFrame(1, head, false));
+  auto socket = listener.acceptConnection();
+  RawConnection deaf(::dup(socket.impl()->sockfd()));
+  deaf.isServer = true;
+  const std::string widestWindow = std::string("\x00\x04", 2) + bigEndian(0x7fffffff);
+  deaf.send(encodeFrame(kSettingsFrame, 0, 0, widestWindow) +
+            encodeFrame(kWindowUpdateFrame, 0, 0, bigEndian(0x7fff0000 - 65'535)));
+  const std::string message = grpcMessage(std::string(kMessageBytes, 'u'));
+  while (broker.counter("backend_unwritten_bytes") < unwritten) {
+    for (std::size_t at = 0; at < message.size(); at += kMaxFrameBytes)
+      CHECK(uploader.connection.send(encodeFrame(kDataFrame, 0, 1, message.substr(at, kMaxFrameBytes))));
+  }
+  broker.reload(file("ready"));
+  Client client(broker.address);
+  std::vector<std::unique_ptr<Call>> moves;
+  for (int i = 0; i < 10; ++i) {
+    moves.push_back(std::make_unique<Call>("/t.Moves/Echo", std::vector<std::string>{"m"}, kMoveDeadlineMs));
+    moves.back()->with("x-id", std::to_string(i)).start(*client.stub);
+  }
+  CHECK(eventually([&] { return resets.calls > 0; }));
+  std::this_thread::sleep_for(kWindow + kWindowSlack);
+  const auto starts = resets.starts();
+  while (const auto frame = deaf.readFrame(500)) {
+    if (frame->type != kHeadersFrame) continue;
+    const auto fields = deaf.decodeHeaders(frame->payload);
+    CHECK(starts.count(std::string(calls::find(fields, "x-id").value_or(""))) == 0);
+  }
+  deaf.close();
+  socket.close();
+  for (auto& move : moves) {
+    move->wait();
+    CHECK(move->ends == 1 && !move->status.ok());
+  }
+}
+
 // A GOAWAY with calls above and below its last stream id: those below succeed, those above are retried
 // elsewhere.
 void goawayDuringCalls() {
@@ -537,6 +590,7 @@
   retryPushback();
   queuedRetriesKeepTheirWindow();
   connectingRetriesKeepTheirWindow();
+  for (const std::uint64_t unwritten : {1, 256 * 1024}) retriesBehindUnreadUploadKeepTheirWindow(unwritten);
   goawayDuringCalls();
   halfOfBackendsFail();
   abusiveClients();
--- a/tests/h2_peer.hpp
+++ b/tests/h2_peer.hpp
@@ -48,6 +48,7 @@
 inline constexpr int kEndHeadersFlag = 4;
 inline constexpr std::size_t kFrameHeaderBytes = 9;
 inline constexpr std::size_t kClientPrefaceBytes = 24;
+inline constexpr std::size_t kMaxFrameBytes = 16 * 1024;  // unless SETTINGS allow more
 
 // Error codes (RFC 9113 section 7).
 inline constexpr std::uint32_t kInternalError = 2;
