--- a/src/grpc/backend.cpp
+++ b/src/grpc/backend.cpp
@@ -127,7 +127,7 @@
     queue.push_back(id);
   }
   // A later `writeBy` needs no timer: the core ends the call before.
-  if (order.writeBy > 0 && order.writeBy < loop_.now() + order.wait)
+  if (order.writeBy > 0 && order.writeBy < exchange.deadline)
     stream.writeTimer = loop_.at(order.writeBy, [this, id] { onWriteByPassed(id); });
   if (const Nanos time = exchange.route->policy.attemptTimeout; time > 0 && time < order.wait)
     stream.timer = loop_.after(time, [this, id] {
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -450,34 +450,41 @@
 
 void Front::sweep() {
   sweepTimer_ = loop_.after(kSweepIntervalNs, [this] { sweep(); });
-  const Nanos now = loop_.now();
-  // A request that has been open for long is taken for a long-lived stream: it is not sent again, and the
-  // lack of a response says nothing about the server.
+  commitLongOpenRequests();
+  if (loop_.now() >= drainDeadline_) endOpenCalls();
+  if (pressure_.full()) endStalledClient();
+}
+
+// A request that has been open for long is taken for a long-lived stream: it is not sent again, and the lack
+// of a response says nothing about the server.
+void Front::commitLongOpenRequests() {
   while (!incompleteRequests_.empty() &&
-         now - incompleteRequests_.begin()->first > plan_->config.streamingAfter) {
+         loop_.now() - incompleteRequests_.begin()->first > plan_->config.streamingAfter) {
     auto* exchange = incompleteRequests_.begin()->second;
     incompleteRequests_.erase(incompleteRequests_.begin());
     exchange->longOpen = true;
     exchange->upstream->commitToNewest(*exchange);
   }
-  if (now >= drainDeadline_) {
-    std::vector<std::shared_ptr<Exchange>> open;
-    for (const auto& [session, client] : clients_)
-      for (const auto& [id, exchange] : client->streams)
-        if (!exchange->trailers) open.push_back(exchange);
-    for (const auto& exchange : open) {
-      ++counters_.cutAtDrain;
-      fail(*exchange, calls::Code::unavailable, kGoingAwayMessage);
-    }
+}
+
+void Front::endOpenCalls() {
+  std::vector<std::shared_ptr<Exchange>> open;
+  for (const auto& [session, client] : clients_)
+    for (const auto& [id, exchange] : client->streams)
+      if (!exchange->trailers) open.push_back(exchange);
+  for (const auto& exchange : open) {
+    ++counters_.cutAtDrain;
+    fail(*exchange, calls::Code::unavailable, kGoingAwayMessage);
   }
-  if (!pressure_.full()) return;
-  // End the connection of the client that holds buffered responses and has made no progress for longest.
+}
+
+void Front::endStalledClient() {
   http2::Session* longestStalled = nullptr;
   for (const auto& [session, client] : clients_) {
     const bool holdsBuffers =
         std::any_of(client->streams.begin(), client->streams.end(),
                     [](const auto& stream) { return stream.second->response.kept() > 0; });
-    if (!holdsBuffers || now - client->lastProgressAt < kStalledClientNs) continue;
+    if (!holdsBuffers || loop_.now() - client->lastProgressAt < kStalledClientNs) continue;
     if (!longestStalled || client->lastProgressAt < clients_.at(longestStalled)->lastProgressAt)
       longestStalled = session;
   }
--- a/src/grpc/front.hpp
+++ b/src/grpc/front.hpp
@@ -108,8 +108,13 @@
   // The client's stream, or its connection, has closed.
   void onClientLeft(Exchange& exchange);
   void logCall(const Exchange& exchange, const calls::CallStatus& final);
-  // Commits long-open requests, ends the drain, and frees full buffers.
+  // Checks regularly for long-open requests, the end of the drain and full buffers.
   void sweep();
+  void commitLongOpenRequests();
+  // The time to drain is over: ends all open calls with UNAVAILABLE.
+  void endOpenCalls();
+  // Ends the connection of the client that holds buffered responses and has made no progress for longest.
+  void endStalledClient();
   std::string nextId(const calls::Fields& head);
 
   net::Loop& loop_;
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -15,11 +15,9 @@
 
 struct SilentServer : lab::FakeProtocol {
   std::optional<std::string> reply(std::string& input, lab::Fault) override {
-    received += input.size();
     input.clear();
     return std::nullopt;
   }
-  std::size_t received = 0;  // bytes
 };
 
 // A gRPC client with one connection that records the final status of each of its calls.
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -46,15 +46,11 @@
   CHECK(world.settle() == 0 && world.asked() > 200);
 }
 
-struct SilentServer : lab::FakeProtocol {
-  std::optional<std::string> reply(std::string&, lab::Fault) override { return std::nullopt; }
-};
-
 // Guards against requests without any answer: the old process of an upgrade ended over the open requests of
 // the features front. Here their server accepts them and never responds.
 void otherFrontsAreAnsweredDuringUpgrade(AggregatorProcesses& world) {
-  SilentServer speaker;
-  lab::FakeServer server(world.loop, speaker, lab::Fault::none);
+  lab::FakeFeatures speaker;
+  lab::FakeServer server(world.loop, speaker, lab::Fault::silent);
   const auto features = lab::freeAddress();
   const auto file = world.temporary() + "/features.json";
   std::ofstream(file) << R"({"listen":")" << features << R"(","deadlineMs":30000,"aimMs":10000,)"
