--- a/review/common-2/play.hpp
+++ b/review/common-2/play.hpp
@@ -314,12 +314,13 @@
     return id;
   }
   // Server: a whole response, or trailers only.
-  void answer(int id, const std::string& body, const std::string& status) {
+  void answer(int id, const std::string& body, const std::string& status, const Fields& more = {}) {
     auto& stream = streams[id];
     if (gone || stream.closed) return;
     Fields head{{":status", "200"}, {"content-type", "application/grpc"}};
     if (body.empty()) {
       head.push_back({"grpc-status", status});
+      head.insert(head.end(), more.begin(), more.end());
       const auto fields = views(head);
       nghttp2_submit_response(session, id, fields.data(), fields.size(), nullptr);
     } else {
