--- a/review/7/play.cpp
+++ b/review/7/play.cpp
@@ -13,19 +13,22 @@
   GrpcServer a("a", 100), b("b", 100);
   for (auto* s : {&a, &b})
     s->work = [](GrpcServer& server, H2& peer, int id) {
-      record("backend %s: answers call %s", server.name.c_str(), field(peer.streams[id].head, "x-call").c_str());
+      record("backend %s: answers call %s", server.name.c_str(),
+             field(peer.streams[id].head, "x-call").c_str());
       peer.answer(id, message("r"), "0");
     };
   const int listen = freePort();
   const std::string file = folder + "/broker.hcl";
   std::ostringstream text;
   text << "grpc {\n  listen = \"127.0.0.1:" << listen << "\"\n  connections = " << kConnections
-       << "\n  pool \"catalogue\" {\n    backend \"127.0.0.1:" << a.port << "\" {}\n    backend \"127.0.0.1:" << b.port
+       << "\n  pool \"catalogue\" {\n    backend \"127.0.0.1:" << a.port
+       << "\" {}\n    backend \"127.0.0.1:" << b.port
        << "\" {}\n  }\n  route \"catalogue\" {\n    service = \"dawa.Catalogue\"\n    pool = \"catalogue\"\n"
        << "    effect = \"safe\"\n  }\n}\n";
   writeFile(file, text.str());
   Program program("exec build/topazweir run --operator " + file, folder + "/log");
-  if (!loop().until(10, [&] { return !program.alive() || program.logged("started") > 0; }) || !program.alive())
+  if (!loop().until(10, [&] { return !program.alive() || program.logged("started") > 0; }) ||
+      !program.alive())
     throw CannotRun{"the program did not start"};
   loop().until(1);
 
@@ -37,9 +40,11 @@
     auto& h = *resting.back();
     h.onEnd = [&](H2&, int) { ++asked; };
     if (i % 16 == 0) loop().until(0.1);
-    h.call("/dawa.Catalogue/Search", message("q"), {{"x-call", "once-" + std::to_string(i)}, {"grpc-timeout", "2S"}});
+    h.call("/dawa.Catalogue/Search", message("q"),
+           {{"x-call", "once-" + std::to_string(i)}, {"grpc-timeout", "2S"}});
   }
-  if (!loop().until(5, [&] { return asked == static_cast<int>(resting.size()); })) throw CannotRun{"the first calls were not answered"};
+  if (!loop().until(5, [&] { return asked == static_cast<int>(resting.size()); }))
+    throw CannotRun{"the first calls were not answered"};
   record("%zu clients have asked once, have their answers and rest", resting.size());
   loop().until(5);  // by then each has rested for more than 2 s
 
--- a/review/common-2/http.hpp
+++ b/review/common-2/http.hpp
@@ -5,7 +5,8 @@
 
 namespace play {
 
-// An HTTP/1.1 connection of a stand-in, either side. `take` gets each whole message (with Content-Length or no body).
+// An HTTP/1.1 connection of a stand-in, either side. `take` gets each whole message (with Content-Length or
+// no body).
 struct Http : Pollable {
   int socket;
   std::string in, out;
@@ -74,7 +75,9 @@
     const int yes = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
     peers.push_back(std::make_unique<Http>(fd));
-    peers.back()->take = [this](Http& h, const std::string& head, const std::string& body) { take(h, head, body); };
+    peers.back()->take = [this](Http& h, const std::string& head, const std::string& body) {
+      take(h, head, body);
+    };
   }
 };
 
--- a/review/common-2/platform.hpp
+++ b/review/common-2/platform.hpp
@@ -71,7 +71,9 @@
   std::vector<std::unique_ptr<Peer>> peers;
   std::function<void(Leaf&, const std::string& id)> got;  // a part has come
   std::function<void(Leaf&, Peer&, const std::string& id, int shard, const std::string& query)> answers;
-  explicit Leaf(std::string called) : name(std::move(called)), listener(listenOn(port)) { loop().all.insert(this); }
+  explicit Leaf(std::string called) : name(std::move(called)), listener(listenOn(port)) {
+    loop().all.insert(this);
+  }
   ~Leaf() override {
     loop().all.erase(this);
     ::close(listener);
@@ -104,12 +106,13 @@
 
 inline std::string listText(long long generation, bool reset, const std::vector<Entry>& entries) {
   std::ostringstream out;
-  out << "{\"generation\":" << generation << ",\"reset\":" << (reset ? "true" : "false") << ",\"instances\":[";
+  out << "{\"generation\":" << generation << ",\"reset\":" << (reset ? "true" : "false")
+      << ",\"instances\":[";
   for (std::size_t i = 0; i < entries.size(); ++i) {
     const auto& e = entries[i];
     out << (i > 0 ? "," : "") << "{\"instanceId\":\"" << e.id << "\",\"hostPort\":\"127.0.0.1:" << e.port
-        << "\",\"zone\":\"nbi-dc1\",\"machineType\":\"std-2core\",\"cell\":" << e.cell << ",\"lifecycle\":\"" << e.state
-        << "\",\"weight\":1.0,\"startedAtMs\":" << e.startedAtMs << "}";
+        << "\",\"zone\":\"nbi-dc1\",\"machineType\":\"std-2core\",\"cell\":" << e.cell << ",\"lifecycle\":\""
+        << e.state << "\",\"weight\":1.0,\"startedAtMs\":" << e.startedAtMs << "}";
   }
   out << "]}";
   return out.str();
@@ -121,21 +124,32 @@
   return size + text + "\r\n";
 }
 
-// The configuration of one aggregator: the figures of `dawa-collect-nbi`, with `cells` cells of two branch groups each.
+// The configuration of one aggregator: the figures of `dawa-collect-nbi`, with `cells` cells of two branch
+// groups each.
 inline std::string platformConfig(int listen, int discovery, const std::string& known, int cells) {
   std::ostringstream out;
   out << "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" << listen << "\",\"discovery\":\"127.0.0.1:" << discovery
-      << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":0.5,\"memory_mb\":192,\"sockets\":512},\"known\":" << known
-      << ",\"settings\":{\"az\":0,\"balancers\":2,\"selfIndex\":0,\"discovery\":\"pushed\",\"tickNs\":5000000,"
-      << "\"localities\":[\"nbi-dc1\"],\"clients\":{\"marksRetry\":true},\"familyInfo\":{\"slabs\":" << 2 * cells
-      << ",\"sets\":" << cells << ",\"reach\":3,\"partsACall\":1,\"overheadNs\":0,\"minShare\":[0.8,1.0],\"needByClass\":[1.0,1.0],"
-      << "\"classPartial\":[0.8,0.9],\"fetchParts\":[0,0]},\"limits\":{\"maxOpen\":126,\"maxAttempts\":4,\"secondCopies\":true,"
+      << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":0.5,\"memory_mb\":192,\"sockets\":512},"
+         "\"known\":"
+      << known
+      << ",\"settings\":{\"az\":0,\"balancers\":2,\"selfIndex\":0,\"discovery\":\"pushed\",\"tickNs\":"
+         "5000000,"
+      << "\"localities\":[\"nbi-dc1\"],\"clients\":{\"marksRetry\":true},\"familyInfo\":{\"slabs\":"
+      << 2 * cells << ",\"sets\":" << cells
+      << ",\"reach\":3,\"partsACall\":1,\"overheadNs\":0,\"minShare\":[0.8,1.0],\"needByClass\":[1.0,1.0],"
+      << "\"classPartial\":[0.8,0.9],\"fetchParts\":[0,0]},\"limits\":{\"maxOpen\":126,\"maxAttempts\":4,"
+         "\"secondCopies\":true,"
       << "\"cancelling\":true,\"retryAfter\":true,\"maxRetryAfterNs\":2000000000,\"streamsPerConn\":32,"
-      << "\"connectTimeoutNs\":250000000,\"connIdleNs\":30000000000},\"guarantees\":{\"drainGraceNs\":500000000,"
-      << "\"coldFrom\":0.22,\"coldNs\":17000000000,\"tipMultiple\":4.0,\"overloadForNs\":2000000000,\"graceToAnswerNs\":20000000},"
-      << "\"profiles\":[{\"name\":\"wide-search\",\"aimNs\":3000000000,\"deadlineNs\":6000000000,\"value\":2.0,\"lateWorth\":0.3,"
-      << "\"semantics\":\"repeatable\",\"windowNs\":5000000000},{\"name\":\"basket-check\",\"aimNs\":2000000000,"
-      << "\"deadlineNs\":4000000000,\"value\":1.0,\"lateWorth\":0.3,\"semantics\":\"repeatable\",\"windowNs\":5000000000}]}}";
+      << "\"connectTimeoutNs\":250000000,\"connIdleNs\":30000000000},\"guarantees\":{\"drainGraceNs\":"
+         "500000000,"
+      << "\"coldFrom\":0.22,\"coldNs\":17000000000,\"tipMultiple\":4.0,\"overloadForNs\":2000000000,"
+         "\"graceToAnswerNs\":20000000},"
+      << "\"profiles\":[{\"name\":\"wide-search\",\"aimNs\":3000000000,\"deadlineNs\":6000000000,\"value\":2."
+         "0,\"lateWorth\":0.3,"
+      << "\"semantics\":\"repeatable\",\"windowNs\":5000000000},{\"name\":\"basket-check\",\"aimNs\":"
+         "2000000000,"
+      << "\"deadlineNs\":4000000000,\"value\":1.0,\"lateWorth\":0.3,\"semantics\":\"repeatable\","
+         "\"windowNs\":5000000000}]}}";
   return out.str();
 }
 
@@ -146,7 +160,8 @@
   double at = 0, answeredAt = -1;
   int status = -1;  // of the final answer
   std::string body;
-  Query(int port, std::string called, const std::string& kind, const std::vector<int>& shards, double deadline)
+  Query(int port, std::string called, const std::string& kind, const std::vector<int>& shards,
+        double deadline)
       : id(std::move(called)), at(now()) {
     const int fd = connectTo(port);
     if (fd < 0) return;
@@ -159,10 +174,12 @@
     std::ostringstream targets;
     targets.precision(10);
     for (std::size_t i = 0; i < shards.size(); ++i)
-      targets << (i > 0 ? "," : "") << "{\"partition\":" << shards[i] << ",\"share\":" << 1.0 / static_cast<double>(shards.size()) << "}";
+      targets << (i > 0 ? "," : "") << "{\"partition\":" << shards[i]
+              << ",\"share\":" << 1.0 / static_cast<double>(shards.size()) << "}";
     const auto text = "{\"targets\":[" + targets.str() + "],\"query\":\"q" + id + "\"}";
     std::ostringstream head;
-    head << "POST /" << kind << " HTTP/1.1\r\nHost: api.internal\r\nReq-Id: " << id << "\r\nReq-Kind: " << kind
+    head << "POST /" << kind << " HTTP/1.1\r\nHost: api.internal\r\nReq-Id: " << id
+         << "\r\nReq-Kind: " << kind
          << "\r\nReq-Owner: nairobi-metro\r\nReq-Key: 7f3a9c21e0b4d655\r\nReq-Deadline: " << deadline
          << "\r\nContent-Length: " << text.size() << "\r\n\r\n";
     connection->write(head.str() + text);
@@ -174,7 +191,9 @@
   if (fd < 0) return -1;
   Http client(fd);
   int status = -1;
-  client.take = [&](Http&, const std::string& head, const std::string&) { status = std::atoi(head.c_str() + 9); };
+  client.take = [&](Http&, const std::string& head, const std::string&) {
+    status = std::atoi(head.c_str() + 9);
+  };
   client.write("GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
   loop().until(1, [&] { return status > 0 || client.gone; });
   return status;
--- a/review/common-2/play.hpp
+++ b/review/common-2/play.hpp
@@ -1,5 +1,6 @@
-// What the review's cases share: a poll loop on the real clock, a small HTTP/2 endpoint on libnghttp2 that plays
-// gRPC clients and gRPC servers, the program under test as a process, and the record. It uses no code of the project.
+// What the review's cases share: a poll loop on the real clock, a small HTTP/2 endpoint on libnghttp2 that
+// plays gRPC clients and gRPC servers, the program under test as a process, and the record. It uses no code
+// of the project.
 #pragma once
 
 #include <arpa/inet.h>
@@ -74,7 +75,8 @@
   std::multimap<double, std::function<void()>> timers;
   void after(double seconds, std::function<void()> what) { timers.emplace(now() + seconds, std::move(what)); }
   // Runs until `done` is true or the time is over; returns whether it was true.
-  bool until(double seconds, const std::function<bool()>& done = [] { return false; }) {
+  bool until(
+      double seconds, const std::function<bool()>& done = [] { return false; }) {
     const double end = now() + seconds;
     while (!done()) {
       const double left = end - now();
@@ -90,7 +92,8 @@
         }
       ::poll(fds.data(), fds.size(), static_cast<int>(wait * 1000) + (wait > 0 ? 1 : 0));
       for (std::size_t i = 0; i < fds.size(); ++i)
-        if (fds[i].revents != 0 && all.count(who[i]) > 0 && who[i]->fd() == fds[i].fd) who[i]->ready(fds[i].revents);
+        if (fds[i].revents != 0 && all.count(who[i]) > 0 && who[i]->fd() == fds[i].fd)
+          who[i]->ready(fds[i].revents);
       while (!timers.empty() && timers.begin()->first <= now()) {
         const auto what = std::move(timers.begin()->second);
         timers.erase(timers.begin());
@@ -161,9 +164,9 @@
     bool ended = false;   // END_STREAM received
     bool closed = false;
     std::uint32_t code = 0;
-    std::string out;      // DATA to send
+    std::string out;  // DATA to send
     std::size_t sent = 0;
-    Fields outTrailers;   // after it
+    Fields outTrailers;  // after it
     bool endAfter = true;
   };
   bool server;
@@ -180,34 +183,37 @@
       : server(asServer), socket(fd) {
     nghttp2_session_callbacks* c = nullptr;
     nghttp2_session_callbacks_new(&c);
-    nghttp2_session_callbacks_set_on_begin_headers_callback(c, [](nghttp2_session*, const nghttp2_frame* f, void* u) {
-      static_cast<H2*>(u)->streams[f->hd.stream_id];
-      return 0;
-    });
+    nghttp2_session_callbacks_set_on_begin_headers_callback(
+        c, [](nghttp2_session*, const nghttp2_frame* f, void* u) {
+          static_cast<H2*>(u)->streams[f->hd.stream_id];
+          return 0;
+        });
     nghttp2_session_callbacks_set_on_header_callback(
-        c, [](nghttp2_session*, const nghttp2_frame* f, const std::uint8_t* n, std::size_t ns, const std::uint8_t* v,
-              std::size_t vs, std::uint8_t, void* u) {
+        c, [](nghttp2_session*, const nghttp2_frame* f, const std::uint8_t* n, std::size_t ns,
+              const std::uint8_t* v, std::size_t vs, std::uint8_t, void* u) {
           auto& s = static_cast<H2*>(u)->streams[f->hd.stream_id];
           const bool second = f->headers.cat == NGHTTP2_HCAT_HEADERS;
           (second ? s.trailers : s.head)
               .push_back({{reinterpret_cast<const char*>(n), ns}, {reinterpret_cast<const char*>(v), vs}});
           return 0;
         });
-    nghttp2_session_callbacks_set_on_frame_recv_callback(c, [](nghttp2_session*, const nghttp2_frame* f, void* u) {
-      auto& self = *static_cast<H2*>(u);
-      const bool end = (f->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
-      const int id = f->hd.stream_id;
-      if (f->hd.type == NGHTTP2_HEADERS && f->headers.cat == NGHTTP2_HCAT_REQUEST && self.onRequestHead)
-        self.onRequestHead(self, id);
-      if ((f->hd.type == NGHTTP2_HEADERS || f->hd.type == NGHTTP2_DATA) && end) {
-        self.streams[id].ended = true;
-        auto& what = self.server ? self.onRequest : self.onEnd;
-        if (what) what(self, id);
-      }
-      return 0;
-    });
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        c, [](nghttp2_session*, const nghttp2_frame* f, void* u) {
+          auto& self = *static_cast<H2*>(u);
+          const bool end = (f->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+          const int id = f->hd.stream_id;
+          if (f->hd.type == NGHTTP2_HEADERS && f->headers.cat == NGHTTP2_HCAT_REQUEST && self.onRequestHead)
+            self.onRequestHead(self, id);
+          if ((f->hd.type == NGHTTP2_HEADERS || f->hd.type == NGHTTP2_DATA) && end) {
+            self.streams[id].ended = true;
+            auto& what = self.server ? self.onRequest : self.onEnd;
+            if (what) what(self, id);
+          }
+          return 0;
+        });
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
-        c, [](nghttp2_session*, std::uint8_t, std::int32_t id, const std::uint8_t* d, std::size_t n, void* u) {
+        c,
+        [](nghttp2_session*, std::uint8_t, std::int32_t id, const std::uint8_t* d, std::size_t n, void* u) {
           auto& s = static_cast<H2*>(u)->streams[id];
           s.got += n;
           if (s.body.size() < 65536) s.body.append(reinterpret_cast<const char*>(d), n);
@@ -285,8 +291,8 @@
                      NGHTTP2_NV_FLAG_NONE});
     return out;
   }
-  static ssize_t read(nghttp2_session* s, std::int32_t id, std::uint8_t* to, std::size_t most, std::uint32_t* flags,
-                      nghttp2_data_source*, void* u) {
+  static ssize_t read(nghttp2_session* s, std::int32_t id, std::uint8_t* to, std::size_t most,
+                      std::uint32_t* flags, nghttp2_data_source*, void* u) {
     auto& stream = static_cast<H2*>(u)->streams[id];
     const auto n = std::min(most, stream.out.size() - stream.sent);
     std::memcpy(to, stream.out.data() + stream.sent, n);
@@ -303,8 +309,8 @@
   }
   // Client: one unary call. Returns the stream.
   int call(const std::string& path, const std::string& message, const Fields& metadata) {
-    Fields head{{":method", "POST"}, {":scheme", "http"}, {":path", path}, {":authority", "dawa"},
-                {"te", "trailers"}, {"content-type", "application/grpc"}};
+    Fields head{{":method", "POST"},    {":scheme", "http"}, {":path", path},
+                {":authority", "dawa"}, {"te", "trailers"},  {"content-type", "application/grpc"}};
     head.insert(head.end(), metadata.begin(), metadata.end());
     const auto fields = views(head);
     nghttp2_data_provider body{{.ptr = nullptr}, read};
@@ -354,7 +360,8 @@
   std::uint32_t maxStreams;
   std::vector<std::unique_ptr<H2>> peers;
   std::function<void(GrpcServer&, H2&, int)> head, work;
-  GrpcServer(std::string called, std::uint32_t streams) : name(std::move(called)), listener(listenOn(port)), maxStreams(streams) {
+  GrpcServer(std::string called, std::uint32_t streams)
+      : name(std::move(called)), listener(listenOn(port)), maxStreams(streams) {
     loop().all.insert(this);
   }
   ~GrpcServer() override {
@@ -387,7 +394,8 @@
   int status = 0;
   bool over = false;
   // `command`: as the deploy file's `run`, with arguments.
-  Program(const std::string& command, const std::string& logFile, const std::map<std::string, std::string>& env = {})
+  Program(const std::string& command, const std::string& logFile,
+          const std::map<std::string, std::string>& env = {})
       : log(logFile) {
     pid = ::fork();
     if (pid == 0) {
@@ -410,7 +418,8 @@
     if (!over && ::waitpid(pid, &status, WNOHANG) == pid) {
       over = true;
       if (WIFSIGNALED(status))
-        record("process %d ended by signal %d (%s)", static_cast<int>(pid), WTERMSIG(status), strsignal(WTERMSIG(status)));
+        record("process %d ended by signal %d (%s)", static_cast<int>(pid), WTERMSIG(status),
+               strsignal(WTERMSIG(status)));
       else
         record("process %d ended with %d", static_cast<int>(pid), WEXITSTATUS(status));
     }
