Log and count what connections hold, who left, and how late the loop is

Change: http.bad_request and http.connection_limit say whose connection, how much was buffered for it and since when; request.abandoned and loop.lagged are new; GET /counters has the HTTP servers' connections and rejections, the buffered bytes of all connections and the resident size.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -53,6 +53,7 @@
   auto* open = open_.find(no);
   if (!open) return;
   sender_.cancelAll(no, *open);
+  log_.line("request.abandoned", history(*open, terms_.settings, clock_.now()));
   finisher_.abandon(no);
   reportEnd(no);
 }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -3,10 +3,12 @@
 
 #include <Poco/Exception.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <random>
 
@@ -42,12 +44,37 @@
 // connections were closed earlier, clients would reconnect to this process.
 constexpr Nanos kCloseConnectionsAfterDrain = 400 * kMs;
 constexpr std::size_t kMaxOperatorConnections = 24;
+// A loop that is later than this is logged: other clients wait as long.
+constexpr Nanos kLoggedLag = 100 * kMs;
 
 std::string environment(const char* name) {
   const char* value = std::getenv(name);
   return value ? value : "";
 }
 
+std::string counterLine(const std::string& name, std::uint64_t value) {
+  return name + ' ' + std::to_string(value) + '\n';
+}
+
+std::string connectionCounters(const http::Server& server, const std::string& prefix) {
+  return print(server.counters(), prefix) + counterLine(prefix + "connections", server.connections()) +
+         counterLine(prefix + "lingering", server.lingering());
+}
+
+// The resident size of this process in KiB; 0 if it cannot be read.
+std::uint64_t residentKib() {
+  std::ifstream statm("/proc/self/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  if (!(statm >> total >> resident)) return 0;
+  return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+std::string processCounters(const memory::Budget& buffers) {
+  return counterLine("buffers_held_bytes", buffers.held()) +
+         counterLine("buffers_peak_bytes", buffers.peak()) + counterLine("resident_kib", residentKib());
+}
+
 std::vector<snmp::NodeRow> nodeRows(const platform::Directory& directory) {
   std::vector<snmp::NodeRow> rows;
   for (const auto& [id, node] : directory.all())
@@ -372,13 +399,17 @@
     line("shards_without_holder", platform_->unserved().size());
     out += ops_->print();
   }
+  if (platform_) out += connectionCounters(platform_->front().server(), "http_");
   if (fleet_) out += fleet_->print();
   if (features_) out += print(features_->broker().counters(), "features_");
+  if (features_) out += connectionCounters(features_->server(), "features_http_");
   if (grpc_) out += grpc_->print("grpc_");
-  return out;
+  return out + processCounters(loop_.buffers());
 }
 
 void Program::pollSignals() {
+  if (const Nanos lag = loop_.takeLongestLag(); lag >= kLoggedLag)
+    log_.line("loop.lagged", "ms=" + std::to_string(lag / kMs));
   for (const int signal : takePendingSignals()) {
     if (signal == SIGUSR1) {
       std::cerr << counters() << std::flush;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -73,6 +73,7 @@
       if (code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM) watchListener(false);
       return;
     }
+    ++counters_.accepted;
     Client& client = clients_[connection.get()];
     client.connection = std::move(connection);
     client.since = loop_.now();
@@ -117,7 +118,8 @@
     onData(*connection);
     return false;
   }
-  log_.line("http.connection_limit", options_.name + " closed an idle connection");
+  ++counters_.idleClosed;
+  log_.line("http.connection_limit", options_.name + " closed an idle connection" + describe(*oldest));
   // Closed at once, since its descriptor is needed now. Nothing is unread, so the client gets no reset.
   connection->close();
   removeClient(*connection);
@@ -150,6 +152,7 @@
     }
     const auto head = client.parser.head(connection->input());
     client.exchange = ++lastExchange_;
+    ++counters_.requests;
     client.hasRequested = true;
     client.close = !head.keepAlive;
     exchanges_[lastExchange_] = connection.get();
@@ -159,9 +162,17 @@
   }
 }
 
+std::string Server::describe(const Client& client) const {
+  constexpr Nanos kMillisecondNs = 1'000'000;
+  return " client=" + client.connection->peerName() +
+         " buffered=" + std::to_string(client.connection->bufferedBytes()) +
+         " after_ms=" + std::to_string((loop_.now() - client.since) / kMillisecondNs);
+}
+
 void Server::reject(Client& client, const Fault& fault) {
-  log_.line("http.bad_request",
-            options_.name + " status=" + std::to_string(fault.status) + " " + std::string(fault.why));
+  ++counters_.rejected[fault.status];
+  log_.line("http.bad_request", options_.name + " status=" + std::to_string(fault.status) + " " +
+                                    std::string(fault.why) + describe(client));
   Response response{fault.status, "text/plain", std::string(fault.why) + "\n", {}};
   auto head = formatHead(response, true);
   const auto connection = client.connection;
@@ -230,7 +241,9 @@
   const auto exchange = at->second.exchange;
   const auto keep = at->second.connection;
   removeClient(connection);
-  if (exchange != 0) handler_.onGone(exchange);
+  if (exchange == 0) return;
+  ++counters_.clientsLeft;
+  handler_.onGone(exchange);
 }
 
 // Prevents clients that send partial requests, or nothing at all, from holding descriptors: after the request
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -12,6 +12,7 @@
 
 #include "broker/log.hpp"
 #include "http/message.hpp"
+#include "http/server_counters.hpp"
 #include "net/connection.hpp"
 
 namespace topazweir::http {
@@ -72,6 +73,9 @@
   // linger timeout of its connection has expired.
   bool quiet() const;
   std::size_t connections() const { return clients_.size(); }
+  // Connections that have had their last response and wait for their clients to read it and close.
+  std::size_t lingering() const { return openConnections() - clients_.size(); }
+  const ServerCounters& counters() const { return counters_; }
   Poco::Net::SocketAddress address() const { return listener_.address(); }
 
  private:
@@ -94,6 +98,8 @@
   void onEnd(net::Connection& connection, net::ConnectionEnd end) override;
   void serve(Client& client);
   void reject(Client& client, const Fault& fault);
+  // For log lines: the client's address, the bytes it holds and how long it has been idle or sending.
+  std::string describe(const Client& client) const;
   void removeClient(net::Connection& connection);
   // Serves a request that has arrived in full and rejects one that has not. Returns false if nothing has
   // arrived.
@@ -115,6 +121,7 @@
   std::map<ExchangeId, net::Connection*> exchanges_;
   // Connections that have been answered and linger until their clients have read the answer.
   std::vector<std::weak_ptr<net::Connection>> closing_;
+  ServerCounters counters_;
   ExchangeId lastExchange_ = 0;
   bool watchingListener_ = false;  // registered with the loop for new connections
   bool listenerOpen_ = true;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -86,10 +86,29 @@
     socket_.close();
   } catch (const Poco::Exception&) {  // nothing more can be done: the connection counts as closed
   }
+  output_.clear();  // the owner may keep the closed connection, and its input, for a while
+  buffered_.set(input_.capacity());
 }
 
 void Connection::close() { release(); }
 
+std::string Connection::peerName() const {
+  try {
+    return socket_.peerAddress().toString();
+  } catch (const Poco::Exception&) {  // the peer has reset the connection, or it is closed here
+    return "?";
+  }
+}
+
+void Connection::resume() {
+  if (state_ == State::up && input_.size() < kMaxInputBytes) watch(true, writable_);
+  accountBuffers();
+}
+
+void Connection::accountBuffers() {
+  buffered_.set(input_.capacity() + static_cast<std::size_t>(queued_ - written_));
+}
+
 void Connection::end(ConnectionEnd why) {
   if (state_ == State::ended) return;
   const bool notifyOwner = state_ != State::lingering;
@@ -121,7 +140,7 @@
     queued_ += piece->size();
     output_.push_back(std::move(*piece));
   }
-  if (writable_) return;
+  if (writable_) return accountBuffers();
   if (!flush()) {  // reported from the loop, since the caller does not expect onEnd from within write()
     const std::weak_ptr<Connection> weak = weak_from_this();
     loop_.soon([weak] {
@@ -156,6 +175,7 @@
     sentOfFirst_ += remaining;
   }
   watch(readable_, !output_.empty());
+  accountBuffers();
   return true;
 }
 
@@ -232,8 +252,10 @@
     if (receivedEnd_) release();
     return;
   }
+  accountBuffers();
   if (receivedMore) owner_->onData(*this);
   if (state_ == State::ended) return;
+  accountBuffers();
   if (receivedEnd_) return end(*receivedEnd_);
   // A peer that sends ahead without waiting for answers is not read beyond the input limit until its requests
   // have been answered.
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "memory/budget.hpp"
 #include "net/connection_end.hpp"
 #include "net/loop.hpp"
 
@@ -64,10 +65,12 @@
   // `peerClosed`: the peer has closed or reset the connection.
   void handlePolledInput(bool peerClosed);
   int fd() const { return socket_.impl()->sockfd(); }
+  // The peer's address, for log lines.
+  std::string peerName() const;
+  // Bytes that this connection buffers in both directions; they count against Loop::buffers().
+  std::size_t bufferedBytes() const { return buffered_.bytes(); }
   // To be called after input() has been consumed: resumes reading if it was paused at the input limit.
-  void resume() {
-    if (state_ == State::up && input_.size() < kMaxInputBytes) watch(true, writable_);
-  }
+  void resume();
   // Closes the socket at once, without onEnd.
   void close();
   // Graceful shutdown without onEnd: writes the queued output, half-closes the stream and lingers until the
@@ -90,7 +93,7 @@
   static constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 
   Connection(Loop& loop, Poco::Net::StreamSocket socket, Owner& owner, State state)
-      : loop_(loop), socket_(std::move(socket)), owner_(&owner), state_(state) {}
+      : loop_(loop), socket_(std::move(socket)), owner_(&owner), state_(state), buffered_(&loop.buffers()) {}
   void onConnectTimeout();
   void watch(bool readable, bool writable);
   void onReadable(Poco::Net::ReadableNotification* event);
@@ -102,6 +105,8 @@
   bool flush();  // returns false if the connection is broken
   void linger();
   void release();
+  // Updates bufferedBytes().
+  void accountBuffers();
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -118,6 +123,7 @@
   std::size_t discarded_ = 0;
   std::uint64_t queued_ = 0;
   std::uint64_t written_ = 0;
+  memory::Charge buffered_;
 };
 
 }  // namespace topazweir::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -97,6 +97,8 @@
       next = timers_.begin();
       continue;
     }
+    const Nanos due = next->first.first;
+    if (due > 0) longestLag_ = std::max(longestLag_, dueBy - due);  // 0: soon(), due at no time of its own
     const auto callback = std::move(next->second);
     timers_.erase(next);
     callback();
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "memory/budget.hpp"
 #include "topazweir/aggregator.hpp"
 
 namespace topazweir::net {
@@ -42,6 +43,10 @@
   // each timer and each connection event; otherwise costs only a read of the clock. Returns true if it
   // polled.
   bool pollClientsIfStale();
+  // The bytes that all connections of the process buffer. Its limit is set by the program.
+  memory::Budget& buffers() { return buffers_; }
+  // The most by which a timer has run late since the last call, in nanoseconds.
+  Nanos takeLongestLag() { return std::exchange(longestLag_, 0); }
   // True while pollClientsIfStale handles input. No work is started until the input of all clients is
   // handled.
   bool pollingClients() const { return pollingClients_; }
@@ -61,7 +66,8 @@
   void runDueTimers();
   void updatePollTimeout();
 
-  Nanos offset_ = 0;  // of Unix time from the steady clock
+  Nanos offset_ = 0;        // of Unix time from the steady clock
+  memory::Budget buffers_;  // declared before timers_, whose callbacks may own connections
   std::uint64_t lastTimerNumber_ = 0;
   std::map<TimerId, std::function<void()>> timers_;
   std::set<Connection*> accepted_;
@@ -69,6 +75,7 @@
   Nanos handledUntil_ = 0;
   // Client activity up to this time is handled once the events of the current iteration are.
   Nanos polledAt_ = 0;
+  Nanos longestLag_ = 0;
   bool handlingEvents_ = false;  // the current iteration has socket events
   bool pollingClients_ = false;
 };
