Read limits.memory_mb, and refuse requests while the buffers are full

What callers saw: a process was killed for its memory; limits.memory_mb was not read, and nothing bounded what all connections and open requests hold together. Change: Loop::buffers() is limited to a quarter of limits.memory_mb; open requests are charged to it, and admission control refuses new ones while it is full. SIGHUP applies a new limit.

--- a/src/broker/admit.cpp
+++ b/src/broker/admit.cpp
@@ -8,9 +8,12 @@
 constexpr Nanos kQuotaWindowNs = 1'000'000'000;  // quotas are per second
 }
 
-// Enforces the memory limit: maxOpen bounds the queries and parts held at once.
+// Enforces the memory limits: maxOpen bounds the queries and parts held at once, the budget all bytes
+// buffered.
 std::optional<Nanos> AdmissionControl::refusal() const {
-  if (terms_.maxOpen == 0 || open_.held() <= terms_.maxOpen) return std::nullopt;
+  const bool tooMany = terms_.maxOpen > 0 && open_.held() > terms_.maxOpen;
+  const bool buffersFull = buffers_ != nullptr && buffers_->full();
+  if (!tooMany && !buffersFull) return std::nullopt;
   return std::min(kRetryAfterNs, terms_.settings.maxRetryAfter);
 }
 
--- a/src/broker/admit.hpp
+++ b/src/broker/admit.hpp
@@ -13,10 +13,10 @@
 
 class AdmissionControl {
  public:
-  AdmissionControl(const Terms& terms, const OpenRequests& open)
-      : terms_(terms), open_(open), recentByTenant_(terms.contracts.size()) {}
-  // The retry-after advice in nanoseconds if the newest request exceeds the limit on held queries and parts;
-  // nullopt if it is admitted.
+  AdmissionControl(const Terms& terms, const OpenRequests& open, const memory::Budget* buffers)
+      : terms_(terms), open_(open), buffers_(buffers), recentByTenant_(terms.contracts.size()) {}
+  // The retry-after advice in nanoseconds if the newest request exceeds the limit on held queries and parts,
+  // or the buffers are full; nullopt if it is admitted.
   std::optional<Nanos> refusal() const;
   // Records the request in its tenant's one-second window and returns whether it exceeds the quota.
   bool beyondQuota(const Request& request, Nanos now);
@@ -29,6 +29,7 @@
  private:
   const Terms& terms_;
   const OpenRequests& open_;
+  const memory::Budget* buffers_;                  // null: unlimited
   std::vector<std::deque<Nanos>> recentByTenant_;  // arrival times within the one-second window, oldest first
 };
 
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -7,12 +7,12 @@
 
 namespace topazweir::broker {
 
-Broker::Broker(Terms terms, Clock& clock, Backend& backend, Log& log)
+Broker::Broker(Terms terms, Clock& clock, Backend& backend, Log& log, memory::Budget* buffers)
     : terms_(std::move(terms)),
       clock_(clock),
       log_(log),
-      intake_(terms_, open_),
-      admission_(terms_, open_),
+      intake_(terms_, open_, buffers),
+      admission_(terms_, open_, buffers),
       module_(terms_.settings),
       sender_(terms_, open_, backend, counters_),
       recorder_(open_, counters_),
--- a/src/broker/broker.hpp
+++ b/src/broker/broker.hpp
@@ -27,7 +27,9 @@
 
 class Broker {
  public:
-  Broker(Terms terms, Clock& clock, Backend& backend, Log& log);
+  // `buffers`: what open requests hold counts against it, and new ones are refused while it is full; null: no
+  // such limit.
+  Broker(Terms terms, Clock& clock, Backend& backend, Log& log, memory::Budget* buffers = nullptr);
 
   // Validates the request and registers it if it is valid. Its processing starts with begin(), so that the
   // front can store the number before the final answer arrives.
--- a/src/broker/open_requests.hpp
+++ b/src/broker/open_requests.hpp
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "broker/ports.hpp"
+#include "memory/budget.hpp"
 
 namespace topazweir::broker {
 
@@ -47,6 +48,7 @@
   std::shared_ptr<const std::string> query;
   std::vector<OpenPart> parts;
   std::optional<Streaming> streaming;
+  memory::Charge charge;  // for what the request holds
   // The client's deadline.
   Nanos clientDue() const { return takenAt + request.timeLeft; }
   // Whether any attempt may have been executed by its server.
--- a/src/broker/relay.cpp
+++ b/src/broker/relay.cpp
@@ -18,6 +18,7 @@
   if (outcome == Outcome::delivered && !part.delivered) {
     part.delivered = true;
     part.value = std::move(value);
+    open->charge.set(open->charge.bytes() + part.value.size());
   }
   return AttemptEnded{ModuleDriver::partId(id.request, at), id.attempt, attempt.server, outcome,
                       now - attempt.sentAt};
--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 constexpr std::size_t kMaxIdChars = 128;
+// What a part takes here and in the decision module, without its value.
+constexpr std::size_t kPartBytes = 512;
 constexpr double kWeightTolerance = 0.01;  // for rounding of the clients' shares
 }  // namespace
 
@@ -39,6 +41,8 @@
 RequestNo Intake::take(Request request, Front& front, Nanos now, Nanos latestDue) {
   OpenRequest open;
   open.front = &front;
+  open.charge = memory::Charge(buffers_);
+  open.charge.set(request.query.size() + request.parts.size() * kPartBytes);
   open.takenAt = now;
   open.due = std::min(now + request.timeLeft, latestDue);
   open.query = std::make_shared<const std::string>(std::move(request.query));
--- a/src/broker/take_in.hpp
+++ b/src/broker/take_in.hpp
@@ -11,7 +11,9 @@
 
 class Intake {
  public:
-  Intake(const Terms& terms, OpenRequests& open) : terms_(terms), open_(open) {}
+  // What open requests hold counts against `buffers`; null: nothing.
+  Intake(const Terms& terms, OpenRequests& open, memory::Budget* buffers)
+      : terms_(terms), open_(open), buffers_(buffers) {}
   // Why the request is invalid, as an error message for its client; nullopt if it is valid.
   std::optional<std::string> validate(const Request& request) const;
   // Registers a valid request. It is due at its own deadline or at `latestDue`, whichever comes first.
@@ -20,6 +22,7 @@
  private:
   const Terms& terms_;
   OpenRequests& open_;
+  memory::Budget* buffers_;
   RequestNo lastNo_ = 0;
 };
 
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -72,6 +72,7 @@
 
 std::string processCounters(const memory::Budget& buffers) {
   return counterLine("buffers_held_bytes", buffers.held()) +
+         counterLine("buffers_limit_bytes", buffers.limit()) +
          counterLine("buffers_peak_bytes", buffers.peak()) + counterLine("resident_kib", residentKib());
 }
 
@@ -203,6 +204,7 @@
       log_([this](auto event, auto text) { writer_.write(event, text); }, [this] { return loop_.now(); }) {
   if (!platformConfig_ && !operator_.features && !operator_.grpc)
     throw config::ConfigError("nothing to serve: NODE_CONFIG is not set, and no operator file names a front");
+  loop_.buffers().setLimit(config::bufferLimit(base_));
   if (platformConfig_) startPlatform();
   if (operator_.features) features_.emplace(loop_, log_, *operator_.features);
   if (operator_.grpc) grpc_.emplace(loop_, log_, *operator_.grpc);
@@ -347,6 +349,7 @@
     for (const auto& key : platform_->reload(std::move(*fresh)))
       log_.line("config.needs_restart", "key " + key);
     base_ = platform_->config();
+    loop_.buffers().setLimit(config::bufferLimit(base_));
     log_.line("config.reread", base_.name + " discovery=" + base_.discovery);
   } catch (const config::ConfigError& error) {
     log_.line("config.reread_failed", error.what());
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -96,6 +96,12 @@
 
 }  // namespace
 
+std::size_t bufferLimit(const PlatformConfig& config) {
+  constexpr double kBytesPerMb = 1e6;
+  constexpr double kBufferShare = 0.25;
+  return static_cast<std::size_t>(config.memoryMb * kBytesPerMb * kBufferShare);
+}
+
 std::string readFile(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream text;
@@ -112,6 +118,7 @@
   out.discovery = reader.address("discovery");
   if (reader.find("ops") != nullptr) out.ops = reader.address("ops");
   out.sockets = static_cast<std::size_t>(reader.integer("limits.sockets", 32, kMaxCount, 1024));
+  out.memoryMb = reader.number("limits.memory_mb", 1, kMaxCount, out.memoryMb);
   out.known = jsonMember(text, "known");
   const auto settingsObject = reader.object("settings");
   if (!settingsObject) reader.fail("settings", "missing or not an object");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -19,6 +19,7 @@
   std::string discovery;       // address:port of the discovery service
   std::string ops;             // address:port for operators' calls; empty: not served
   std::size_t sockets = 1024;  // limit on the file descriptors that the process may hold
+  double memoryMb = 192;       // limit on its memory, in megabytes
   broker::Terms terms;
   std::vector<std::string> zones;  // zone names; the index is the zone's number
   // Discovery is a local agent that server lists are pushed to and that answers at once. Otherwise one
@@ -38,6 +39,10 @@
 // In `fresh` these are reset to the running values, so that the rest of it can be applied.
 std::vector<std::string> resetKeysThatNeedRestart(const PlatformConfig& running, PlatformConfig& fresh);
 
+// The bytes that a process with this much memory may buffer for its connections and open requests: a quarter.
+// The rest is for the program itself, its tables and what the allocator cannot reuse.
+std::size_t bufferLimit(const PlatformConfig& config);
+
 // Returns the whole content of a file. Throws ConfigError if it cannot be read.
 std::string readFile(const std::string& path);
 
--- a/src/features/features_service.hpp
+++ b/src/features/features_service.hpp
@@ -16,7 +16,7 @@
                  [this](const auto& id, auto outcome, auto value) {
                    broker_.attemptEnded(id, outcome, std::move(value));
                  }),
-        broker_(config_.terms, clock_, backend_, log),
+        broker_(config_.terms, clock_, backend_, log, &loop.buffers()),
         front_(loop, log, config_, broker_) {
     updateServers(config_.groups);
   }
--- a/src/platform/platform_service.cpp
+++ b/src/platform/platform_service.cpp
@@ -21,7 +21,7 @@
             [this](const auto& id, auto outcome, auto value) {
               broker_.attemptEnded(id, outcome, std::move(value));
             }),
-      broker_(config_.terms, clock_, reportingBackend_, log_) {
+      broker_(config_.terms, clock_, reportingBackend_, log_, &loop.buffers()) {
   applyKnownList();
   discovery_.emplace(
       loop, log_, Poco::Net::SocketAddress(config_.discovery), config_.zones, generation_,
