HTTP: at most 128 header fields, and no framing kept of a chunked body

What callers saw: with hundreds of heads of very many short fields a process passed its memory limit. The sizes and ends of small chunks stayed in the buffer, too, many times the body. Change: the 129th field gets 431; chunks are joined as they are parsed. Parser::skip() leaves a parsed message in the buffer for a while, for long rows of small ones.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -36,6 +36,8 @@
 
 // Empty lines skipped before a request: four of CR LF.
 constexpr std::size_t kMaxEmptyLinesBytes = 8;
+// Skipped messages of this size are removed from the buffer.
+constexpr std::size_t kMaxSkippedBytes = 16 * 1024;
 // Longest line with the size of a chunk and its extensions.
 constexpr std::size_t kMaxChunkLineBytes = 256;
 
@@ -86,6 +88,12 @@
   } else if (stage_ != Stage::done && stage_ != Stage::fault) {
     while (parseChunkElement(input)) {
     }
+    // What frames the chunks is removed, so that a body in small chunks takes no more memory than its bytes.
+    if (stage_ != Stage::fault && parsedEnd_ > bodyEnd_) {
+      input.erase(bodyEnd_, parsedEnd_ - bodyEnd_);
+      parsedEnd_ = bodyEnd_;
+      searchFrom_ = 0;
+    }
   }
   return stage_ == Stage::done    ? Progress::complete
          : stage_ == Stage::fault ? Progress::fault
@@ -99,13 +107,12 @@
 
 bool Parser::parseHead(const std::string& input) {
   // Empty lines before a request are skipped, as RFC 9112, section 2.2, recommends.
-  std::size_t start = 0;
-  while (input.compare(start, 2, "\r\n") == 0 && start < kMaxEmptyLinesBytes) start += 2;
+  std::size_t start = messageStart_;
+  while (input.compare(start, 2, "\r\n") == 0 && start < messageStart_ + kMaxEmptyLinesBytes) start += 2;
   const auto end = input.find("\r\n\r\n", std::max(start, searchFrom_));
-  if (end == std::string::npos ? input.size() > limits_.head : end > limits_.head)
-    return fail(431, "the head is too long");
+  if (std::min(end, input.size()) - messageStart_ > limits_.head) return fail(431, "the head is too long");
   if (end == std::string::npos) {
-    searchFrom_ = input.size() < 3 ? 0 : input.size() - 3;
+    searchFrom_ = std::max<std::size_t>(messageStart_ + 3, input.size()) - 3;
     return false;
   }
   searchFrom_ = 0;
@@ -160,6 +167,7 @@
   // A blank before the colon and a folded line are rejected, since parsers disagree on their meaning.
   if (colon == std::string_view::npos || !isToken(text.substr(0, colon)))
     return fail(400, "a field is malformed");
+  if (fields_.size() == limits_.fields) return fail(431, "too many header fields");
   const auto value = trim(text.substr(colon + 1));
   const auto at = value.empty() ? line.offset + colon
                                 : line.offset + static_cast<std::size_t>(value.data() - text.data());
@@ -231,9 +239,10 @@
     stage_ = *size == 0 ? Stage::trailer : Stage::chunkData;
   } else if (stage_ == Stage::chunkData) {
     const auto count = std::min(remaining_, input.size() - parsedEnd_);
-    std::copy(input.begin() + static_cast<std::ptrdiff_t>(parsedEnd_),
-              input.begin() + static_cast<std::ptrdiff_t>(parsedEnd_ + count),
-              input.begin() + static_cast<std::ptrdiff_t>(bodyEnd_));
+    if (parsedEnd_ != bodyEnd_)
+      std::copy(input.begin() + static_cast<std::ptrdiff_t>(parsedEnd_),
+                input.begin() + static_cast<std::ptrdiff_t>(parsedEnd_ + count),
+                input.begin() + static_cast<std::ptrdiff_t>(bodyEnd_));
     parsedEnd_ += count;
     bodyEnd_ += count;
     remaining_ -= count;
@@ -281,6 +290,13 @@
   *this = Parser(side_, limits_);
 }
 
+void Parser::skip(std::string& input) {
+  const auto skipped = parsedEnd_;
+  if (skipped == input.size() || skipped >= kMaxSkippedBytes) return next(input);
+  *this = Parser(side_, limits_);
+  messageStart_ = skipped;
+}
+
 std::string_view reason(int status) {
   switch (status) {
     case 200:
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -14,10 +14,12 @@
 // The kind of message that a parser reads.
 enum class MessageKind { request, response };
 
-// Size limits of a message, in bytes.
+// Limits of a message.
 struct Limits {
-  std::size_t head = 16 * 1024;
-  std::size_t body = 64 * 1024;
+  std::size_t head = 16 * 1024;  // bytes
+  std::size_t body = 64 * 1024;  // bytes
+  // Header fields. Parsed, a field takes many times the four bytes of the shortest one.
+  std::size_t fields = 128;
 };
 
 // The parsed head of a message. Its members are views into the input buffer and become invalid when that is
@@ -64,6 +66,9 @@
   std::string takeBody(std::string& input);
   // Removes the message from the buffer and resets the parser for the next one.
   void next(std::string& input);
+  // As next(), but this parser goes on in the same buffer: parsed messages are removed from it together, so
+  // that a long row of small ones does not move the rest each time.
+  void skip(std::string& input);
 
  private:
   enum class Stage { head, length, chunkSize, chunkData, chunkEnd, trailer, untilEnd, done, fault };
@@ -97,11 +102,12 @@
   bool http10_ = false;
   bool keepAlive_ = true;
   std::vector<std::pair<Span, Span>> fields_;
-  std::size_t searchFrom_ = 0;  // offset at which the search for the end of the head or line continues
-  std::size_t bodyStart_ = 0;   // offset of the body
-  std::size_t bodyEnd_ = 0;     // offset behind the part of the body that has been parsed
-  std::size_t parsedEnd_ = 0;   // offset behind all parsed input; beyond bodyEnd_ in a chunked body
-  std::size_t remaining_ = 0;   // length of a body with Content-Length, or bytes still to come of the chunk
+  std::size_t messageStart_ = 0;  // offset of the message; what is before it has been skipped
+  std::size_t searchFrom_ = 0;    // offset at which the search for the end of the head or line continues
+  std::size_t bodyStart_ = 0;     // offset of the body
+  std::size_t bodyEnd_ = 0;       // offset behind the part of the body that has been parsed
+  std::size_t parsedEnd_ = 0;     // offset behind all parsed input; beyond bodyEnd_ in a chunked body
+  std::size_t remaining_ = 0;     // length of a body with Content-Length, or bytes still to come of the chunk
 };
 
 // The reason phrase of a status code.
