HTTP server: bound what each client can make the process keep and do

What callers saw: processes over their memory limit beside half-sent requests, slow writers, unread answers and requests sent ahead; answers late or never beside clients at full speed; parts sent 0.26 s after their client had left. Cause: one class, unbounded work and memory on behalf of one peer. Change: a request begins only if earlier answers have been taken, and if the socket was seen empty within 50 ms; reading goes on behind an open exchange, what is too far ahead is counted and refused in order; pipelined requests share 4 ms of each turn; at most 64 KiB are read at once. While the buffers are full the largest holder is refused (503); at the connection limit unfinished requests make room after 0.25 s. Counters and http.refused_ahead, http.stalled_reader.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,6 +20,25 @@
 constexpr double kIdleCloseLoadRatio = 0.75;
 // Length of the kernel's queue of pending connections.
 constexpr int kListenBacklog = 512;
+// Time in each iteration of the loop for requests that clients have sent ahead, on all connections together.
+constexpr Nanos kBacklogSliceNs = 4'000'000;
+// Unparsed input of one client. Requests sent further ahead are refused: they are read all the same, since
+// the close of their client is behind them.
+constexpr std::size_t kMaxAheadBytes = 128 * 1024;
+// A client that stays that far ahead for longer is not read any more: half of the 0.1 s in which its close
+// must be seen.
+constexpr Nanos kMaxAheadNs = 50'000'000;
+constexpr Fault kTooFarAhead{503, "requests were sent too far ahead; asking again is harmless"};
+// Refusals written at once; the rest follows when the client has taken these.
+constexpr std::size_t kRefusalsPerWrite = 128;
+// While buffers are full, a connection that holds less is left alone.
+constexpr std::size_t kMinShedBytes = 2 * 1024;
+// A client that has taken no byte of its answers for this long may lose its connection when room is short.
+constexpr Nanos kStalledReaderNs = 1'000'000'000;
+constexpr Fault kBuffersFull{503, "the buffers are full; asking again is harmless"};
+constexpr Fault kConnectionsFull{503, "the connections are needed; asking again is harmless"};
+constexpr const char* kRefusedAheadText = "too many requests sent ahead; asking again is harmless\n";
+constexpr const char* kRefusalRetryAfterSeconds = "1";
 }  // namespace
 
 Server::Server(net::Loop& loop, broker::Log& log, Options options, Handler& handler)
@@ -40,6 +59,7 @@
 
 Server::~Server() {
   loop_.cancel(sweepTimer_);
+  loop_.cancel(backlogTimer_);
   watchListener(false);
 }
 
@@ -76,7 +96,7 @@
     ++counters_.accepted;
     Client& client = clients_[connection.get()];
     client.connection = std::move(connection);
-    client.since = loop_.now();
+    client.since = client.progressAt = loop_.now();
   }
 }
 
@@ -100,7 +120,43 @@
     connection->close();
     return true;
   }
-  return closeLongestIdle(0, false) || closeLongestIdle(kNewConnectionGraceNs, true);
+  return closeLongestIdle(0, false) || closeLongestIdle(kNewConnectionGraceNs, true) ||
+         shedOldestUnfinished() || closeStalledReader();
+}
+
+// Refuses the request that has been arriving for longest, if that is past the grace period, and closes its
+// connection.
+bool Server::shedOldestUnfinished() {
+  Client* oldest = nullptr;
+  for (auto& [key, client] : clients_)
+    if (client.requestBegun && loop_.now() - client.since >= kNewConnectionGraceNs &&
+        (!oldest || client.since < oldest->since) && awaitsRest(client))
+      oldest = &client;
+  if (!oldest) return false;
+  const auto connection = oldest->connection;
+  if (connection->readAvailable()) {  // its rest may have arrived
+    onData(*connection);
+    return false;
+  }
+  ++counters_.unfinishedShed;
+  reject(*oldest, kConnectionsFull);
+  connection->close();  // its descriptor is needed now; nothing is unread, so the client gets no reset
+  return true;
+}
+
+// Closes the connection whose client has taken nothing of its answers for longest.
+bool Server::closeStalledReader() {
+  Client* stalled = nullptr;
+  for (auto& [key, client] : clients_)
+    if (!client.connection->flushed() && client.connection->written() == client.lastWritten &&
+        loop_.now() - client.progressAt >= kStalledReaderNs &&
+        (!stalled || client.progressAt < stalled->progressAt))
+      stalled = &client;
+  if (!stalled) return false;
+  ++counters_.stalledClosed;
+  log_.line("http.stalled_reader", options_.name + describe(*stalled));
+  stalled->connection->end(net::ConnectionEnd::closedLocally);
+  return true;
 }
 
 // Closes the connection that has been idle longest, if that is at least `minIdleTime`. A connection with an
@@ -129,18 +185,24 @@
 void Server::onData(net::Connection& connection) {
   const auto at = clients_.find(&connection);
   if (at == clients_.end()) return;
+  Client& client = at->second;
   // The time is not renewed by further bytes, or a slow request could take forever.
-  if (at->second.hasRequested && at->second.exchange == 0 && !at->second.requestBegun)
-    at->second.since = loop_.now();
-  at->second.requestBegun = true;
-  serve(at->second);
+  if (client.hasRequested && client.exchange == 0 && !client.requestBegun) client.since = loop_.now();
+  client.requestBegun = true;
+  serve(client);
+  if (loop_.buffers().full()) freeBuffers();
 }
 
 // Handles one exchange at a time; pipelined requests wait in the input. The request of a client that has
-// already disconnected is not started.
+// already disconnected is not started, nor is one that has had unread bytes behind it for long, since the
+// close may be there.
 void Server::serve(Client& client) {
+  if (!client.serveScheduled) serveUntil(client, 0);
+}
+
+void Server::serveUntil(Client& client, Nanos sliceEnd) {
   const auto connection = client.connection;  // keeps it alive: the handler may respond, which can end it
-  while (client.exchange == 0 && !client.connection->input().empty()) {
+  while (!client.occupied() && !connection->input().empty()) {
     if (connection->hasPeerClosed()) return connection->end(net::ConnectionEnd::peerClosed);
     switch (client.parser.parse(connection->input())) {
       case Parser::Progress::more:
@@ -150,16 +212,145 @@
       case Parser::Progress::complete:
         break;
     }
-    const auto head = client.parser.head(connection->input());
-    client.exchange = ++lastExchange_;
-    ++counters_.requests;
-    client.hasRequested = true;
-    client.close = !head.keepAlive;
-    exchanges_[lastExchange_] = connection.get();
-    handler_.onRequest(lastExchange_, head, client.parser.body(connection->input()));
+    if (!connection->drained() && loop_.now() - connection->lastDrainedAt() > kMaxAheadNs) break;
+    begin(client);
     // The handler may have responded at once, which may have removed the client.
     if (clients_.find(connection.get()) == clients_.end()) return;
+    if (loop_.now() >= sliceEnd && !connection->input().empty()) return scheduleServe(client);
+  }
+  if (connection->input().size() < kMaxAheadBytes || connection->drained()) {
+    client.aheadSince = 0;
+  } else if (sliceEnd > 0) {
+    refuseAhead(client, sliceEnd);
+  } else {
+    if (client.aheadSince == 0) client.aheadSince = loop_.now();
+    scheduleServe(client);
+  }
+}
+
+void Server::begin(Client& client) {
+  const auto connection = client.connection;
+  const auto head = client.parser.head(connection->input());
+  client.exchange = ++lastExchange_;
+  ++counters_.requests;
+  client.hasRequested = true;
+  client.close = !head.keepAlive;
+  exchanges_[lastExchange_] = connection.get();
+  handler_.onRequest(lastExchange_, head, client.parser.body(connection->input()));
+  if (clients_.find(connection.get()) == clients_.end()) return;
+  client.parser.next(connection->input());  // its bytes are not kept while the exchange is open
+  client.requestBegun = !connection->input().empty();
+  connection->resume();
+}
+
+// Requests that were sent ahead are served in turns with everything else that the loop has to do.
+void Server::scheduleServe(Client& client) {
+  if (std::exchange(client.serveScheduled, true)) return;
+  backlog_.push_back(client.connection);
+  if (backlog_.size() == 1) backlogTimer_ = loop_.at(0, [this] { serveBacklog(); });
+}
+
+void Server::serveBacklog() {
+  const Nanos sliceEnd = loop_.now() + kBacklogSliceNs;
+  for (auto left = backlog_.size(); left > 0 && loop_.now() < sliceEnd; --left) {
+    const auto connection = backlog_.front().lock();
+    backlog_.pop_front();
+    const auto at = connection ? clients_.find(connection.get()) : clients_.end();
+    if (at == clients_.end()) continue;
+    at->second.serveScheduled = false;
+    serveUntil(at->second, sliceEnd);
+  }
+  loop_.cancel(backlogTimer_);  // serving may have added the first one again
+  if (!backlog_.empty()) backlogTimer_ = loop_.at(0, [this] { serveBacklog(); });
+}
+
+void Server::refuseAhead(Client& client, Nanos sliceEnd) {
+  const auto connection = client.connection;
+  if (client.aheadSince > 0 && loop_.now() - client.aheadSince > kMaxAheadNs)
+    return giveUpReading(client, kTooFarAhead);
+  auto progress = client.parser.parse(connection->input());
+  if (client.refusals == 0 && progress == Parser::Progress::complete)
+    log_.line("http.refused_ahead", options_.name + describe(client));
+  while (progress == Parser::Progress::complete && loop_.now() < sliceEnd) {
+    ++client.refusals;
+    ++counters_.refusedAhead;
+    client.parser.skip(connection->input());
+    progress = client.parser.parse(connection->input());
+  }
+  if (progress == Parser::Progress::fault) return giveUpReading(client, client.parser.fault());
+  client.hasRequested = true;
+  client.requestBegun = !connection->input().empty();
+  connection->resume();
+  if (connection->input().size() < kMaxAheadBytes) {
+    client.aheadSince = 0;
+  } else {
+    scheduleServe(client);
+  }
+  writeRefusals(client);
+}
+
+void Server::giveUpReading(Client& client, const Fault& fault) {
+  client.fault = fault;
+  client.connection->startDiscarding();
+  writeRefusals(client);
+}
+
+void Server::writeRefusals(Client& client) {
+  if (client.exchange != 0) return;
+  const auto connection = client.connection;
+  Response response{503, "text/plain", kRefusedAheadText, {{"Retry-After", kRefusalRetryAfterSeconds}}};
+  const auto refusal = formatHead(response, false) + response.body;
+  while (client.refusals > 0 && connection->flushed()) {
+    std::string text;
+    for (std::size_t i = 0; i < kRefusalsPerWrite && client.refusals > 0; ++i, --client.refusals)
+      text += refusal;
+    connection->write(std::move(text));
+  }
+  if (client.refusals > 0 || !connection->flushed()) return;
+  client.since = loop_.now();
+  if (client.fault) return reject(client, Fault(*client.fault));
+  if (!connection->input().empty()) scheduleServe(client);
+}
+
+void Server::onFlushed(net::Connection& connection) {
+  const auto at = clients_.find(&connection);
+  if (at == clients_.end()) return;
+  Client& client = at->second;
+  if (client.refusals > 0 || client.fault) return writeRefusals(client);
+  if (client.exchange == 0 && !connection.input().empty()) scheduleServe(client);
+}
+
+bool Server::awaitsRest(Client& client) {
+  return !client.occupied() && !client.serveScheduled &&
+         client.parser.parse(client.connection->input()) == Parser::Progress::more;
+}
+
+Server::Client* Server::largestHolder() {
+  Client* largest = nullptr;
+  std::size_t most = kMinShedBytes;
+  for (auto& [key, client] : clients_) {
+    const auto held = client.connection->input().capacity();
+    if (held < most || client.fault) continue;
+    largest = &client;
+    most = held;
   }
+  return largest;
+}
+
+void Server::freeBuffers() {
+  while (loop_.buffers().full()) {
+    auto* largest = largestHolder();
+    if (largest == nullptr) break;
+    shed(*largest);
+  }
+  while (loop_.buffers().full() && closeStalledReader()) {
+  }
+}
+
+void Server::shed(Client& client) {
+  ++counters_.unfinishedShed;
+  if (awaitsRest(client)) return reject(client, kBuffersFull);
+  giveUpReading(client, kBuffersFull);
 }
 
 std::string Server::describe(const Client& client) const {
@@ -174,11 +365,12 @@
   log_.line("http.bad_request", options_.name + " status=" + std::to_string(fault.status) + " " +
                                     std::string(fault.why) + describe(client));
   Response response{fault.status, "text/plain", std::string(fault.why) + "\n", {}};
+  if (fault.status == 503) response.fields.emplace_back("Retry-After", kRefusalRetryAfterSeconds);
   auto head = formatHead(response, true);
   const auto connection = client.connection;
   connection->write(std::move(head), std::move(response.body));
   closeGracefully(*connection);
-  connection->input() = {};  // frees the memory, which may be much, while the connection lingers
+  connection->discardInput();
 }
 
 void Server::respond(ExchangeId exchange, const Response& response) {
@@ -193,20 +385,12 @@
   // up yet, and a client that has to reconnect would find no server.
   const bool close = client.close || !listenerOpen_ || closeAfterResponse_;
   connection->write(formatHead(response, close), response.body);
-  client.parser.next(connection->input());
   client.exchange = 0;
   client.since = loop_.now();
-  client.requestBegun = !connection->input().empty();
   if (close) return closeGracefully(*connection);
   connection->resume();
-  if (connection->input().empty()) return;
-  // Pipelined requests are served from the loop, since this may be called from within serve().
-  const std::weak_ptr<net::Connection> weak = connection;
-  loop_.soon([this, weak] {
-    const auto self = weak.lock();
-    const auto clientAt = self ? clients_.find(self.get()) : clients_.end();
-    if (clientAt != clients_.end()) serve(clientAt->second);
-  });
+  if (client.refusals > 0 || client.fault) return writeRefusals(client);
+  if (!connection->input().empty()) scheduleServe(client);
 }
 
 void Server::closeGracefully(net::Connection& connection) {
@@ -253,7 +437,11 @@
   sweepTimer_ = loop_.after(kSweepIntervalNs, [this] { sweep(); });
   std::vector<std::shared_ptr<net::Connection>> overdue;
   for (auto& [key, client] : clients_) {
-    if (client.exchange == 0 && (!client.hasRequested || client.requestBegun) &&
+    if (client.connection->flushed() || client.connection->written() != client.lastWritten) {
+      client.lastWritten = client.connection->written();
+      client.progressAt = loop_.now();
+    }
+    if (!client.occupied() && (!client.hasRequested || client.requestBegun) &&
         loop_.now() - client.since > options_.requestTimeout)
       overdue.push_back(client.connection);
   }
@@ -297,18 +485,19 @@
   connection.readAvailable();
   if (!connection.input().empty()) onData(connection);
   const auto at = clients_.find(&connection);
-  if (at == clients_.end() || at->second.exchange != 0) return true;
+  if (at == clients_.end() || at->second.occupied()) return true;
   if (connection.input().empty()) return false;
-  reject(at->second, Fault{408, "the request did not come in"});
+  if (awaitsRest(at->second)) reject(at->second, Fault{408, "the request did not come in"});
   return true;
 }
 
 void Server::rejectUnfinished() {
-  std::vector<std::shared_ptr<net::Connection>> withoutRequest;
+  std::vector<std::shared_ptr<net::Connection>> withoutExchange;
   for (auto& [key, client] : clients_)
-    if (client.exchange == 0) withoutRequest.push_back(client.connection);
-  for (const auto& connection : withoutRequest) {
-    if (!serveOrReject(*connection)) closeGracefully(*connection);
+    if (client.exchange == 0) withoutExchange.push_back(client.connection);
+  for (const auto& connection : withoutExchange) {
+    const bool waits = clients_.at(connection.get()).occupied();  // for its client to take earlier answers
+    if (waits || !serveOrReject(*connection)) closeGracefully(*connection);
   }
 }
 
@@ -316,7 +505,7 @@
 void Server::closeIdleConnections() {
   std::vector<std::shared_ptr<net::Connection>> idle;
   for (auto& [key, client] : clients_)
-    if (client.exchange == 0 && (client.hasRequested || loop_.now() - client.since >= kNewConnectionGraceNs))
+    if (!client.occupied() && (client.hasRequested || loop_.now() - client.since >= kNewConnectionGraceNs))
       idle.push_back(client.connection);
   for (const auto& connection : idle) {
     // A request that has arrived, even if not read yet, is served before the connection is closed.
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -82,21 +83,52 @@
   struct Client {
     std::shared_ptr<net::Connection> connection;
     Parser parser{MessageKind::request};
-    ExchangeId exchange = 0;    // the open exchange; 0: none
-    bool close = false;         // close after the open exchange
-    bool hasRequested = false;  // at least one request has arrived in full
-    bool requestBegun = false;  // the first byte of the next request has arrived
-    Nanos since = 0;            // when the connection became idle or its next request began
+    ExchangeId exchange = 0;      // the open exchange; 0: none
+    bool close = false;           // close after the open exchange
+    bool hasRequested = false;    // at least one request has arrived in full
+    bool requestBegun = false;    // the first byte of the next request has arrived
+    bool serveScheduled = false;  // in backlog_
+    std::size_t refusals = 0;     // answers owed, in order, to requests sent too far ahead
+    std::optional<Fault> fault;   // behind these: input is discarded, and the connection ends with it
+    Nanos aheadSince = 0;         // since when its input has been at the limit with more unread; 0: it isn't
+    Nanos since = 0;              // when the connection became idle or its next request began
+    std::uint64_t lastWritten = 0;  // bytes its client had taken at progressAt
+    Nanos progressAt = 0;           // when its client was last seen to take bytes of its answers
     bool idle() const { return exchange == 0 && connection->input().empty() && connection->flushed(); }
+    // No further request may begin: one is open, or earlier answers are still to be written.
+    bool occupied() const { return exchange != 0 || refusals > 0 || fault || !connection->flushed(); }
   };
 
   void onAccept(Poco::Net::ReadableNotification* event);
   void accept();
   void watchListener(bool on);
   void onData(net::Connection& connection) override;
+  void onFlushed(net::Connection& connection) override;
   void onPeerClosedWhilePaused(net::Connection& connection) override;
   void onEnd(net::Connection& connection, net::ConnectionEnd end) override;
   void serve(Client& client);
+  void scheduleServe(Client& client);
+  // Serves connections of the backlog in turn, for kBacklogSliceNs.
+  void serveBacklog();
+  // As serve(), until `sliceEnd`.
+  void serveUntil(Client& client, Nanos sliceEnd);
+  // Hands a request that has arrived in full to the front.
+  void begin(Client& client);
+  // Refuses the requests that wait behind the open exchange. Their answers follow in order.
+  void refuseAhead(Client& client, Nanos sliceEnd);
+  // Gives up on reading the client's requests: after the answers that it is owed it gets the fault's, and its
+  // connection ends.
+  void giveUpReading(Client& client, const Fault& fault);
+  void writeRefusals(Client& client);
+  // The client's next request has begun and not arrived in full, and nothing else keeps it waiting.
+  bool awaitsRest(Client& client);
+  // Frees input of the clients that hold most while Loop::buffers() is full.
+  void freeBuffers();
+  // Frees what the client holds in its input; an open exchange goes on.
+  void shed(Client& client);
+  Client* largestHolder();
+  bool closeStalledReader();
+  bool shedOldestUnfinished();
   void reject(Client& client, const Fault& fault);
   // For log lines: the client's address, the bytes it holds and how long it has been idle or sending.
   std::string describe(const Client& client) const;
@@ -121,6 +153,9 @@
   std::map<ExchangeId, net::Connection*> exchanges_;
   // Connections that have been answered and linger until their clients have read the answer.
   std::vector<std::weak_ptr<net::Connection>> closing_;
+  // Connections with requests that wait for the loop to have time; each at most once.
+  std::deque<std::weak_ptr<net::Connection>> backlog_;
+  net::Loop::TimerId backlogTimer_{};
   ServerCounters counters_;
   ExchangeId lastExchange_ = 0;
   bool watchingListener_ = false;  // registered with the loop for new connections
--- a/src/http/server_counters.cpp
+++ b/src/http/server_counters.cpp
@@ -11,6 +11,9 @@
   line("requests", counters.requests);
   line("clients_left", counters.clientsLeft);
   line("idle_closed", counters.idleClosed);
+  line("unfinished_shed", counters.unfinishedShed);
+  line("refused_ahead", counters.refusedAhead);
+  line("stalled_closed", counters.stalledClosed);
   for (const auto& [status, count] : counters.rejected)
     line("rejected{status=" + std::to_string(status) + "}", count);
   return out;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -27,6 +27,7 @@
   connection->socket_.setNoDelay(true);
   connection->watch(true, false);
   connection->accepted_ = true;
+  connection->lastDrainedAt_ = loop.now();
   loop.registerAccepted(*connection);
   return connection;
 }
@@ -105,7 +106,33 @@
   accountBuffers();
 }
 
+void Connection::discardInput() {
+  std::string().swap(input_);  // unlike clear(), this frees the memory
+  accountBuffers();
+}
+
+void Connection::startDiscarding() {
+  discarding_ = true;
+  discardInput();
+  if (state_ == State::up) watch(true, writable_);
+}
+
+void Connection::receiveAndDiscard() {
+  std::array<char, kReadChunkBytes> chunk;
+  for (std::size_t discarded = 0; discarded < kMaxDiscardedReadBytes;) {
+    const auto received = ::recv(fd(), chunk.data(), chunk.size(), 0);
+    if (received < 0 && errno == EINTR) continue;
+    if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+    if (received <= 0) {
+      receivedEnd_ = received < 0 ? ConnectionEnd::reset : ConnectionEnd::peerClosed;
+      return;
+    }
+    discarded += static_cast<std::size_t>(received);
+  }
+}
+
 void Connection::accountBuffers() {
+  if (input_.capacity() > kKeptInputBytes && input_.size() < input_.capacity() / 4) input_.shrink_to_fit();
   buffered_.set(input_.capacity() + static_cast<std::size_t>(queued_ - written_));
 }
 
@@ -206,18 +233,28 @@
   return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-// Reads until the socket is empty, so that a close behind the last byte is seen together with that byte. A
-// request whose client has already left is then not started.
+// Reads until the socket is empty or the limit of one read is reached, so that a close behind the last byte
+// is seen together with that byte. A request whose client has already left is then not started.
 bool Connection::receive() {
   if (state_ == State::ended || state_ == State::connecting) return false;
+  if (discarding_ && state_ == State::up) {
+    receiveAndDiscard();
+    return false;
+  }
   std::array<char, kReadChunkBytes> chunk;
   const auto sizeBefore = input_.size();
-  while (input_.size() < kMaxInputBytes) {
-    const auto received = ::recv(fd(), chunk.data(), chunk.size(), 0);
+  const auto maxSize = accepted_ ? std::min(kMaxInputBytes, sizeBefore + kMaxReadBytes) : kMaxInputBytes;
+  drained_ = false;
+  while (input_.size() < maxSize) {
+    const auto received = ::recv(fd(), chunk.data(), std::min(chunk.size(), maxSize - input_.size()), 0);
     if (received < 0 && errno == EINTR) continue;
-    if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+    if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      drained_ = true;
+      break;
+    }
     if (received <= 0) {
       receivedEnd_ = received < 0 ? ConnectionEnd::reset : ConnectionEnd::peerClosed;
+      drained_ = true;
       break;
     }
     if (state_ == State::lingering) {
@@ -229,9 +266,17 @@
     }
     input_.append(chunk.data(), static_cast<std::size_t>(received));
   }
+  if (!drained_ && state_ == State::up) checkDrained();
+  if (drained_) lastDrainedAt_ = loop_.now();
   return input_.size() > sizeBefore;
 }
 
+void Connection::checkDrained() {
+  char next = 0;
+  const auto peeked = ::recv(fd(), &next, 1, MSG_PEEK);
+  drained_ = peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void Connection::onReadable(Poco::Net::ReadableNotification* event) {
   event->release();
   const auto self = shared_from_this();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -58,6 +58,15 @@
   bool flushed() const { return queued_ == written_; }
   // Reads bytes that have arrived but were not read yet. Returns false if there were none.
   bool readAvailable() { return receive(); }
+  // Whether the last read found nothing more to read. Otherwise bytes, or the peer's close, are still behind
+  // what has been read, and the loop will report them.
+  bool drained() const { return drained_; }
+  // When the socket was last found empty, or the connection was accepted. The peer's close is not older.
+  Nanos lastDrainedAt() const { return lastDrainedAt_; }
+  // Drops the unconsumed input and frees its memory.
+  void discardInput();
+  // Drops the unconsumed input and all that is still received: the owner is told of the end alone.
+  void startDiscarding();
   // True if the peer has closed or reset the connection and input() holds its last bytes. While reading is
   // paused, unread bytes may still precede the end of the stream.
   bool hasPeerClosed() const;
@@ -89,6 +98,13 @@
   static constexpr Nanos kPausedCheckIntervalNs = 50'000'000;
   // Reading pauses at this much unconsumed input; the rest stays in the socket's own buffer.
   static constexpr std::size_t kMaxInputBytes = 256 * 1024;
+  // Read from an accepted connection at once, so that a peer that sends at full speed does not occupy the
+  // loop.
+  static constexpr std::size_t kMaxReadBytes = 64 * 1024;
+  // Read and discarded at once. More than is kept, so that the close behind it is seen soon.
+  static constexpr std::size_t kMaxDiscardedReadBytes = 1024 * 1024;
+  // Input capacity that a connection keeps although its input needs less.
+  static constexpr std::size_t kKeptInputBytes = 4 * 1024;
   // Bytes read and discarded while lingering; after these the socket is no longer read.
   static constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 
@@ -100,12 +116,15 @@
   void onWritable(Poco::Net::WritableNotification* event);
   void read();
   bool receive();
+  void receiveAndDiscard();
   void pauseReading();
   void checkPausedPeer();
   bool flush();  // returns false if the connection is broken
   void linger();
   void release();
-  // Updates bufferedBytes().
+  // Notes the end of the stream, or that the socket holds nothing more.
+  void checkDrained();
+  // Frees input capacity that is no longer needed, and updates bufferedBytes().
   void accountBuffers();
 
   Loop& loop_;
@@ -115,6 +134,9 @@
   bool readable_ = false;  // registered for readable events
   bool writable_ = false;  // registered for writable events
   bool accepted_ = false;
+  bool drained_ = true;
+  Nanos lastDrainedAt_ = 0;
+  bool discarding_ = false;
   std::optional<ConnectionEnd> receivedEnd_;  // end of the stream, as seen by the last read
   Loop::TimerId timer_{};
   std::string input_;
--- a/tests/processes/limited_process.hpp
+++ b/tests/processes/limited_process.hpp
@@ -67,6 +67,8 @@
   void untilServing() {
     int status = 0;
     while (status != 200) {
+      if (process->over())
+        for (const auto& line : process->lines()) std::fprintf(stderr, "%s\n", line.c_str());
       CHECK(!process->over());
       status = ask(listen, get("/up")).first;
     }
@@ -121,9 +123,9 @@
            "\r\n\r\n" + body;
   }
 
-  std::string listen = lab::freeAddress();
-  std::string features = lab::freeAddress();
-  std::string grpc = lab::freeAddress();
+  std::string listen = ownAddress();
+  std::string features = ownAddress();
+  std::string grpc = ownAddress();
   RecordingLeaf leafs{loop};
   lab::FakeServer leafA{loop, leafs, lab::Fault::none};
   lab::FakeServer leafB{loop, leafs, lab::Fault::none};
@@ -134,6 +136,13 @@
   std::unique_ptr<Process> process;
 
  private:
+  // An address that no connection of another process takes meanwhile: on a loopback host of this test's own.
+  static std::string ownAddress() {
+    static int port = 8000;
+    const int id = ::getpid();
+    return "127.77." + std::to_string(id / 250 % 250 + 1) + "." + std::to_string(id % 250 + 1) + ":" +
+           std::to_string(++port);
+  }
   std::string list() const {
     const auto entry = [](const std::string& name, const std::string& address) {
       return R"({"instanceId":")" + name + R"(","hostPort":")" + address +
