Core: an id that may have run is not run again for 60 s

What callers saw: an id ran twice when it came again after its client had left. Change: the ids of ended requests that may have run are remembered for 60 s, 16,384 of them at most (hashes, about 1 MB); the same id again is invalid (400), as one that is open. An id that cannot have run may come again. It holds for the core, so for every front; the OGC and the gRPC front give ids of their own.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -16,12 +16,12 @@
       module_(terms_.settings),
       sender_(terms_, open_, backend, counters_),
       recorder_(open_, counters_),
-      finisher_(open_, counters_) {
+      finisher_(open_, counters_, clock) {
   for (const auto& contract : terms_.contracts) counters_.tenants.push_back({.name = contract.tenant});
 }
 
 std::variant<RequestNo, Invalid> Broker::take(Request request, Front& front) {
-  if (auto why = intake_.validate(request)) {
+  if (auto why = intake_.validate(request, clock_.now())) {
     ++counters_.invalid;
     return Invalid{std::move(*why)};
   }
--- a/src/broker/finish.cpp
+++ b/src/broker/finish.cpp
@@ -11,7 +11,7 @@
   auto* open = open_.find(no);
   if (!open) return;
   Front* front = open->front;
-  open_.remove(no);  // before finish(): the front may submit a new request from there
+  open_.remove(no, clock_.now());  // before finish(): the front may submit a new request from there
   front->finish(no, std::move(answer));
 }
 
@@ -45,7 +45,7 @@
 
 void Finisher::abandon(RequestNo no) {
   ++counters_.abandoned;
-  open_.remove(no);
+  open_.remove(no, clock_.now());
 }
 
 }  // namespace topazweir::broker
--- a/src/broker/finish.hpp
+++ b/src/broker/finish.hpp
@@ -9,7 +9,8 @@
 // All functions ignore requests that are no longer open, except that abandon() counts them.
 class Finisher {
  public:
-  Finisher(OpenRequests& open, Counters& counters) : open_(open), counters_(counters) {}
+  Finisher(OpenRequests& open, Counters& counters, const Clock& clock)
+      : open_(open), counters_(counters), clock_(clock) {}
   // Answers with the parts that have been delivered. `whole`: they suffice for a whole answer.
   void answer(RequestNo no, bool whole);
   // `retryAfter`: advice to the client in nanoseconds; 0: none.
@@ -23,6 +24,7 @@
   TenantCounters* tenantCounters(const OpenRequest& open);
   OpenRequests& open_;
   Counters& counters_;
+  const Clock& clock_;
 };
 
 }  // namespace topazweir::broker
--- a/src/broker/open_requests.hpp
+++ b/src/broker/open_requests.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "broker/finished_ids.hpp"
 #include "broker/ports.hpp"
 #include "memory/budget.hpp"
 
@@ -69,15 +70,18 @@
     return at == byNo_.end() ? nullptr : &at->second;
   }
   bool hasId(const std::string& id) const { return ids_.count(id) > 0; }
+  // Whether a request with this id has ended lately that may have run.
+  bool mayHaveRun(const std::string& id, Nanos now) { return finished_.has(id, now); }
   OpenRequest& add(RequestNo no, OpenRequest request) {
     held_ += 1 + request.parts.size();
     ids_.insert(request.request.id);
     byDue_.emplace(request.due, no);
     return byNo_.try_emplace(no, std::move(request)).first->second;
   }
-  void remove(RequestNo no) {
+  void remove(RequestNo no, Nanos now) {
     const auto at = byNo_.find(no);
     if (at == byNo_.end()) return;
+    if (at->second.mayHaveRun()) finished_.add(at->second.request.id, now);
     held_ -= 1 + at->second.parts.size();
     ids_.erase(at->second.request.id);
     byDue_.erase({at->second.due, no});
@@ -107,6 +111,7 @@
  private:
   std::map<RequestNo, OpenRequest> byNo_;
   std::unordered_set<std::string> ids_;
+  FinishedIds finished_;
   std::set<std::pair<Nanos, RequestNo>> byDue_;  // one entry per open request
   std::size_t held_ = 0;
 };
--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -13,7 +13,7 @@
 constexpr double kWeightTolerance = 0.01;  // for rounding of the clients' shares
 }  // namespace
 
-std::optional<std::string> Intake::validate(const Request& r) const {
+std::optional<std::string> Intake::validate(const Request& r, Nanos now) const {
   const auto below = [](int value, std::size_t limit) {
     return value >= 0 && static_cast<std::size_t>(value) < limit;
   };
@@ -21,6 +21,7 @@
   for (const char c : r.id)  // the id is sent in space-separated lines
     if (c <= ' ' || c > '~') return "the request's id holds a space or an unprintable character";
   if (open_.hasId(r.id)) return "a request with this id is open";
+  if (open_.mayHaveRun(r.id, now)) return "a request with this id may have run already";
   if (!below(r.queryClass, terms_.settings.classes.size())) return "unknown class";
   if (!terms_.contracts.empty() && !below(r.tenant, terms_.contracts.size())) return "unknown tenant";
   if (r.timeLeft <= 0 || r.timeLeft > terms_.maxDeadline) return "the deadline is out of range";
--- a/src/broker/take_in.hpp
+++ b/src/broker/take_in.hpp
@@ -15,7 +15,7 @@
   Intake(const Terms& terms, OpenRequests& open, memory::Budget* buffers)
       : terms_(terms), open_(open), buffers_(buffers) {}
   // Why the request is invalid, as an error message for its client; nullopt if it is valid.
-  std::optional<std::string> validate(const Request& request) const;
+  std::optional<std::string> validate(const Request& request, Nanos now) const;
   // Registers a valid request. It is due at its own deadline or at `latestDue`, whichever comes first.
   RequestNo take(Request request, Front& front, Nanos now, Nanos latestDue);
 
