Buffer less near limits.memory_mb, and give free memory back

What callers saw: beside one flood after the other the process was over its limit although no more than 6.2 MiB were buffered; it would have been killed. Cause: the allocator keeps what earlier floods have needed in pieces that the next one cannot use; nothing looked at the process as a whole. SNMP: twClientConnections.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -2,6 +2,7 @@
 #include "cli/serve.hpp"
 
 #include <Poco/Exception.h>
+#include <malloc.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -44,6 +45,7 @@
 // connections were closed earlier, clients would reconnect to this process.
 constexpr Nanos kCloseConnectionsAfterDrain = 400 * kMs;
 constexpr std::size_t kMaxOperatorConnections = 24;
+constexpr Nanos kMemoryWatchInterval = 50 * kMs;
 // A loop that is later than this is logged: other clients wait as long.
 constexpr Nanos kLoggedLag = 100 * kMs;
 
@@ -70,6 +72,15 @@
   return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE)) / 1024;
 }
 
+// Large buffers are mapped and unmapped by themselves, and free memory at the top of the heap goes back to
+// the system: otherwise the process keeps what one flood has needed, and the next one adds to it.
+void configureAllocator() {
+  constexpr int kMappedBytes = 64 * 1024;
+  constexpr int kKeptBytes = 128 * 1024;
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kKeptBytes);
+}
+
 std::string processCounters(const memory::Budget& buffers) {
   return counterLine("buffers_held_bytes", buffers.held()) +
          counterLine("buffers_limit_bytes", buffers.limit()) +
@@ -120,6 +131,14 @@
   return out;
 }
 
+snmp::ConnectionFigures connectionFigures(const http::Server& server, const memory::Budget& buffers) {
+  const auto& c = server.counters();
+  std::uint64_t rejected = 0;
+  for (const auto& [status, count] : c.rejected) rejected += count;
+  return {server.connections(), rejected,      c.unfinishedShed, c.refusedAhead, c.idleClosed,
+          c.stalledClosed,      c.clientsLeft, buffers.held(),   buffers.peak(), buffers.limit()};
+}
+
 snmp::CallFigures callFigures(const grpc::GrpcService& side) {
   const auto& f = side.front().counters();
   const auto c = side.counters();
@@ -204,7 +223,8 @@
       log_([this](auto event, auto text) { writer_.write(event, text); }, [this] { return loop_.now(); }) {
   if (!platformConfig_ && !operator_.features && !operator_.grpc)
     throw config::ConfigError("nothing to serve: NODE_CONFIG is not set, and no operator file names a front");
-  loop_.buffers().setLimit(config::bufferLimit(base_));
+  configureAllocator();
+  applyMemoryLimits();
   if (platformConfig_) startPlatform();
   if (operator_.features) features_.emplace(loop_, log_, *operator_.features);
   if (operator_.grpc) grpc_.emplace(loop_, log_, *operator_.grpc);
@@ -219,12 +239,32 @@
       if (grpc_) parts.calls = callFigures(*grpc_);
       if (ops_) parts.operation = operationFigures(*ops_);
       if (fleet_) parts.membership = membershipFigures(*fleet_);
+      if (platform_ || features_)
+        parts.connections =
+            connectionFigures(platform_ ? platform_->front().server() : features_->server(), loop_.buffers());
       return snmp::takeSnapshot(*broker, rows, parts);
     });
   log_.line("started", base_.name + (platform_ ? " listen=" + base_.listen : "") +
                            (grpc_ ? " grpc=" + grpc_->front().address().toString() : "") +
                            (features_ ? " features=" + features_->server().address().toString() : ""));
   pollSignals();
+  watchMemory();
+}
+
+void Program::applyMemoryLimits() {
+  residentLimit_.setLimits(config::memoryLimit(base_), config::bufferLimit(base_));
+  loop_.buffers().setLimit(config::bufferLimit(base_));
+}
+
+void Program::watchMemory() {
+  const auto decision = residentLimit_.decide(residentKib() * 1024, loop_.now());
+  if (decision.trim) ::malloc_trim(0);
+  if (decision.bufferLimit != loop_.buffers().limit())
+    log_.line("memory.buffer_limit", "bytes=" + std::to_string(decision.bufferLimit) +
+                                         " held=" + std::to_string(loop_.buffers().held()) +
+                                         " resident_kib=" + std::to_string(residentKib()));
+  loop_.buffers().setLimit(decision.bufferLimit);
+  loop_.after(kMemoryWatchInterval, [this] { watchMemory(); });
 }
 
 void Program::startPlatform() {
@@ -349,7 +389,7 @@
     for (const auto& key : platform_->reload(std::move(*fresh)))
       log_.line("config.needs_restart", "key " + key);
     base_ = platform_->config();
-    loop_.buffers().setLimit(config::bufferLimit(base_));
+    applyMemoryLimits();
     log_.line("config.reread", base_.name + " discovery=" + base_.discovery);
   } catch (const config::ConfigError& error) {
     log_.line("config.reread_failed", error.what());
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -12,6 +12,7 @@
 #include "features/features_service.hpp"
 #include "fleet/fleet_service.hpp"
 #include "grpc/grpc_service.hpp"
+#include "memory/resident_limit.hpp"
 #include "net/loop.hpp"
 #include "ops/operator_service.hpp"
 #include "platform/platform_service.hpp"
@@ -42,6 +43,9 @@
   void reloadPlatform();
   void reloadOperatorFiles();
   void pollSignals();
+  void applyMemoryLimits();
+  // Checked regularly: gives free memory back, and lowers the limit of the buffers near the process's own.
+  void watchMemory();
   // By when every open request of every front has its final answer. Only with the platform's part.
   void setShutdownDeadline(Nanos at);
   // Closes the listeners of all fronts. `rejectUnfinished`: requests that have not arrived in full are
@@ -86,6 +90,7 @@
   bool shuttingDown_ = false;
   Nanos answeredBy_ = 0;  // when shutting down: the time by which all open requests have their final answer
   net::Loop::TimerId closeConnectionsTimer_{};
+  memory::ResidentLimit residentLimit_;
 };
 
 // Serves until SIGTERM or SIGINT. Returns the exit code; throws ConfigError.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -96,10 +96,14 @@
 
 }  // namespace
 
-std::size_t bufferLimit(const PlatformConfig& config) {
+std::size_t memoryLimit(const PlatformConfig& config) {
   constexpr double kBytesPerMb = 1e6;
-  constexpr double kBufferShare = 0.2;
-  return static_cast<std::size_t>(config.memoryMb * kBytesPerMb * kBufferShare);
+  return static_cast<std::size_t>(config.memoryMb * kBytesPerMb);
+}
+
+std::size_t bufferLimit(const PlatformConfig& config) {
+  constexpr std::size_t kBufferDivisor = 5;
+  return memoryLimit(config) / kBufferDivisor;
 }
 
 std::string readFile(const std::string& path) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -42,6 +42,8 @@
 // The bytes that a process with this much memory may buffer for its connections and open requests: a fifth.
 // The rest is for the program itself, its tables and what the allocator cannot reuse.
 std::size_t bufferLimit(const PlatformConfig& config);
+// limits.memory_mb in bytes.
+std::size_t memoryLimit(const PlatformConfig& config);
 
 // Returns the whole content of a file. Throws ConfigError if it cannot be read.
 std::string readFile(const std::string& path);
--- a/src/snmp/snapshot.cpp
+++ b/src/snmp/snapshot.cpp
@@ -18,7 +18,8 @@
   kStatuses = 6,
   kOperation = 7,
   kMembership = 8,
-  kMembers = 9
+  kMembers = 9,
+  kConnections = 10
 };
 
 Gauge gauge(double value) { return {static_cast<std::uint32_t>(std::clamp(value, 0.0, 4294967295.0))}; }
@@ -54,6 +55,16 @@
   writer.scalar(++number, gauge(f.drained ? 1.0 : 0.0), kOperation);
 }
 
+void addConnections(Writer& writer, const ConnectionFigures& f) {
+  unsigned long number = 0;
+  writer.scalar(++number, gauge(f.connections), kConnections);
+  for (const auto value :
+       {f.rejected, f.unfinishedShed, f.refusedAhead, f.idleClosed, f.stalledClosed, f.clientsLeft})
+    writer.scalar(++number, Counter{value}, kConnections);
+  for (const auto value : {f.bufferedBytes, f.bufferedPeakBytes, f.bufferLimitBytes})
+    writer.scalar(++number, gauge(value), kConnections);
+}
+
 void addMembership(Writer& writer, const MembershipFigures& f) {
   unsigned long number = 0;
   for (const auto value : {f.alive, f.members.size()}) writer.scalar(++number, gauge(value), kMembership);
@@ -116,6 +127,7 @@
   if (parts.operation) addOperation(writer, *parts.operation);
   if (parts.membership) addMembership(writer, *parts.membership);
   if (parts.calls) addCalls(writer, *parts.calls);
+  if (parts.connections) addConnections(writer, *parts.connections);
   return out;
 }
 
--- a/src/snmp/snapshot.hpp
+++ b/src/snmp/snapshot.hpp
@@ -103,11 +103,26 @@
   Register held{};
 };
 
+// Figures of an HTTP front's connections, and of the buffers of all connections.
+struct ConnectionFigures {
+  std::size_t connections = 0;       // clients' connections of the front
+  std::uint64_t rejected = 0;        // requests rejected before they had arrived in full
+  std::uint64_t unfinishedShed = 0;  // of these, to make room for connections or buffers
+  std::uint64_t refusedAhead = 0;    // requests refused because their client sent too far ahead
+  std::uint64_t idleClosed = 0;
+  std::uint64_t stalledClosed = 0;  // connections of clients that did not read their answers
+  std::uint64_t clientsLeft = 0;    // with an open request
+  std::size_t bufferedBytes = 0;
+  std::size_t bufferedPeakBytes = 0;
+  std::size_t bufferLimitBytes = 0;
+};
+
 // Figures of the optional parts. The objects of an absent part are absent from the snapshot.
 struct Parts {
   std::optional<CallFigures> calls{};
   std::optional<OperationFigures> operation{};
   std::optional<MembershipFigures> membership{};
+  std::optional<ConnectionFigures> connections{};
 };
 
 // The identifier that all objects start with.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -37,6 +37,15 @@
   return "none";
 }
 
+void memoryLimit() {
+  const auto withLimit = [](const std::string& limits) {
+    return config::read(replaced(kPlatformJson, R"("sockets":512)", limits));
+  };
+  CHECK(config::bufferLimit(withLimit(R"("memory_mb":32)")) == 6'400'000);
+  CHECK(withLimit(R"("sockets":512)").memoryMb == 192);
+  CHECK(errorOf([&] { withLimit(R"("memory_mb":0)"); }).find("limits.memory_mb") != std::string::npos);
+}
+
 void platformConfiguration() {
   const auto config = config::read(kPlatformJson);
   CHECK(config.sockets == 512 && config.terms.settings.seed == 0x8c1f30d27a5be964ULL);
@@ -106,6 +115,7 @@
 }  // namespace topazweir::test
 
 int main() {
+  topazweir::test::memoryLimit();
   topazweir::test::platformConfiguration();
   topazweir::test::featuresConfiguration();
   topazweir::test::snmpConfiguration();
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -22,8 +22,18 @@
 
 struct EchoHandler : http::Server::Handler {
   http::Server* server = nullptr;
+  bool holds = false;  // the first request is answered by release()
+  http::Server::ExchangeId held = 0;
+  void release() {
+    holds = false;
+    server->respond(held, {200, "text/plain", "held", {}});
+  }
   void onRequest(http::Server::ExchangeId exchange, const http::Head& head, std::string_view) override {
     const std::string target(head.target);
+    if (holds && held == 0) {
+      held = exchange;
+      return;
+    }
     server->respond(exchange,
                     {200, "text/plain", target == "/big" ? std::string(kLargeBodyBytes, 'x') : target, {}});
   }
@@ -110,6 +120,38 @@
   CHECK(a < b && b < bad && bad != std::string::npos && text.find("/c") == std::string::npos);
 }
 
+// A client sends far more requests than are kept behind its open one, and reads nothing meanwhile. Each gets
+// its answer in order: the first its own, the others that they were sent too far ahead.
+void requestsTooFarAheadAreRefusedInOrder() {
+  ServerFixture fixture;
+  constexpr std::size_t kRequests = 20'000;
+  std::string requests = getRequest("/held");
+  for (std::size_t i = 1; i < kRequests; ++i) requests += getRequest("/a");
+  fixture.echo.holds = true;
+  Poco::Net::StreamSocket socket(fixture.server.address());
+  socket.setBlocking(false);
+  std::size_t sent = 0;
+  std::string text;
+  std::size_t answers = 0;
+  std::function<void()> turn = [&] {
+    const int got = socket.sendBytes(requests.data() + sent, static_cast<int>(requests.size() - sent));
+    sent += got > 0 ? static_cast<std::size_t>(got) : 0;
+    if (sent == requests.size() && fixture.echo.holds) fixture.echo.release();
+    if (!fixture.echo.holds) readSome(socket, text);
+    answers = 0;
+    for (auto at = text.find("HTTP/1.1 "); at != std::string::npos; at = text.find("HTTP/1.1 ", at + 1))
+      ++answers;
+    if (answers == kRequests) return fixture.loop.stop();
+    fixture.loop.after(kMs, turn);
+  };
+  turn();
+  fixture.loop.after(60'000 * kMs, [&] { fixture.loop.stop(); });
+  fixture.loop.run();
+  CHECK(answers == kRequests && text.rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(text.find("HTTP/1.1 503") != std::string::npos);
+  CHECK(fixture.server.counters().refusedAhead > 0 && fixture.loop.buffers().peak() < 1024 * 1024);
+}
+
 // Partial requests, one of which arrives byte by byte, get a 408 within the request timeout, and a
 // connection without any request is closed. A connection that is idle after a request stays open.
 void slowRequestsTimeOut() {
@@ -236,4 +278,5 @@
   topazweir::test::rejectedUploadDoesNotBlockOthers();
   topazweir::test::slowReaderGetsAll();
   topazweir::test::pipelinedInOrder();
+  topazweir::test::requestsTooFarAheadAreRefusedInOrder();
 }
--- a/tests/snmp_test.cpp
+++ b/tests/snmp_test.cpp
@@ -98,7 +98,8 @@
     members.members = {{"n1", "127.0.0.1:1", "a", "1", 1, 2, 4, 0, 0},
                        {"n2", "127.0.0.1:2", "b", "1", 3, 2, 6'000'000'000, 7, 250}};
     return snmp::takeSnapshot(broker, {{1, "s-1", ServerState::draining, 3, 5'000'000'000}},
-                              {calls, snmp::OperationFigures{7, 2, 1, 3, true}, members});
+                              {calls, snmp::OperationFigures{7, 2, 1, 3, true}, members,
+                               snmp::ConnectionFigures{9, 8, 7, 6, 5, 4, 3, 2, 1, 10}});
   };
   snmp::Agent agent(loop, log, config, takeSnapshot);
   std::atomic<bool> done = false;
@@ -125,6 +126,9 @@
     CHECK(!manager.request(SNMP_MSG_GET, oid({1, 8, 16, 0})));
     CHECK(manager.request(SNMP_MSG_GET, oid({1, 9, 1, 3, 2}))->second == "3");
     CHECK(manager.request(SNMP_MSG_GET, oid({1, 9, 1, 8, 2}))->second == "6000000000");
+    CHECK(manager.request(SNMP_MSG_GET, oid({1, 10, 1, 0}))->second == "9");
+    CHECK(manager.request(SNMP_MSG_GET, oid({1, 10, 4, 0}))->second == "6");
+    CHECK(manager.request(SNMP_MSG_GET, oid({1, 10, 10, 0}))->second == "10");
     CHECK(!manager.request(SNMP_MSG_SET, oid({1, 1, 13, 0})));  // read-only
     const auto all = takeSnapshot();
     for (const int kind : {SNMP_MSG_GETNEXT, SNMP_MSG_GETBULK}) {
