--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,6 +14,8 @@
 namespace {
 // Interval of the sweep for slow requests and idle connections.
 constexpr Nanos kSweepIntervalNs = 200'000'000;
+// How soon connections are accepted again after the limit was reached and none could be closed.
+constexpr Nanos kAcceptRetryNs = 20'000'000;
 // Grace period of a new connection: clients may open one a little before they send the first request.
 constexpr Nanos kNewConnectionGraceNs = 250'000'000;
 // Above this share of the maximum connections, the sweep closes idle connections.
@@ -57,6 +59,7 @@
 
 Server::~Server() {
   loop_.cancel(sweepTimer_);
+  loop_.cancel(acceptTimer_);
   *alive_ = false;
   watchListener(false);
 }
@@ -77,7 +80,7 @@
 void Server::accept() {
   while (listenerOpen_) {
     // At the limit new connections wait in the backlog: the program must not run out of descriptors.
-    if (openConnections() >= options_.mostConnections && !freeConnection()) return watchListener(false);
+    if (openConnections() >= options_.mostConnections && !freeConnection()) return pauseAccepting();
     std::shared_ptr<net::Connection> connection;
     try {
       if (!listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
@@ -98,6 +101,14 @@
   }
 }
 
+void Server::pauseAccepting() {
+  watchListener(false);
+  loop_.cancel(acceptTimer_);
+  acceptTimer_ = loop_.after(kAcceptRetryNs, [this] {
+    if (listenerOpen_) watchListener(true);
+  });
+}
+
 // Connections that hold a descriptor: those of clients, and those lingering after their last response.
 std::size_t Server::openConnections() const {
   return clients_.size() +
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -101,6 +101,8 @@
   void onAccept(Poco::Net::ReadableNotification* event);
   void accept();
   void watchListener(bool on);
+  // Stops to accept, and tries again soon: connections become idle or overdue without an event.
+  void pauseAccepting();
   void onData(net::Connection& connection) override;
   void onFlushed(net::Connection& connection) override;
   void onPeerClosedWhilePaused(net::Connection& connection) override;
@@ -146,6 +148,7 @@
   Handler& handler_;
   Poco::Net::ServerSocket listener_;
   net::Loop::TimerId sweepTimer_;
+  net::Loop::TimerId acceptTimer_{};
   std::map<net::Connection*, Client> clients_;
   std::map<ExchangeId, net::Connection*> exchanges_;
   // Connections that have been answered and linger until their clients have read the answer.
