Full buffers spare idle clients; the memory watch counts from what the process takes itself

What callers would have seen: while the buffers are full a client that rests got a 503 that it had not asked for, and its next answer was taken for the wrong request; found by reading the change. Cause: Server::shed() took the unused input capacity of an idle connection for half a request. A second one: with large lists of nodes the process itself would have passed 0.72 of limits.memory_mb, and its buffers would have been cut for no fault of the clients. Change: unused capacity is freed and nothing else; ResidentLimit takes the resident size while next to nothing is buffered as the base, and counts shares of the room above it. Evidence: server: fullBuffersSpareIdleClients fails without the change (answer and a 503) and passes with it; limits: nearTheLimitLessIsBuffered.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -257,7 +257,7 @@
 }
 
 void Program::watchMemory() {
-  const auto decision = residentLimit_.decide(residentKib() * 1024, loop_.now());
+  const auto decision = residentLimit_.decide(residentKib() * 1024, loop_.buffers().held(), loop_.now());
   if (decision.trim) ::malloc_trim(0);
   if (decision.bufferLimit != loop_.buffers().limit())
     log_.line("memory.buffer_limit", "bytes=" + std::to_string(decision.bufferLimit) +
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -350,6 +350,7 @@
 }
 
 void Server::shed(Client& client) {
+  if (client.connection->input().empty()) return client.connection->discardInput();  // unused capacity
   ++counters_.unfinishedShed;
   if (awaitsRest(client)) return reject(client, kBuffersFull);
   giveUpReading(client, kBuffersFull);
--- a/src/memory/resident_limit.hpp
+++ b/src/memory/resident_limit.hpp
@@ -2,6 +2,7 @@
 // allocator cannot reuse, and what is not accounted for, then takes its room from the buffers. Pure.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 #include "topazweir/aggregator.hpp"
@@ -20,10 +21,12 @@
     processLimit_ = process;
     bufferLimit_ = buffers;
   }
-  // `resident`: the bytes that the process takes now; 0: not known.
-  Decision decide(std::size_t resident, Nanos now) {
-    const auto share = static_cast<double>(resident) / static_cast<double>(processLimit_);
-    Decision out{bufferLimit_, share > kTrimShare && now - trimmedAt_ >= kTrimIntervalNs};
+  // `resident`: the bytes that the process takes now; 0: not known. `held`: of these, in buffers.
+  Decision decide(std::size_t resident, std::size_t held, Nanos now) {
+    if (held < bufferLimit_ / kQuietDivisor) base_ = std::min(resident, processLimit_);
+    const auto room = static_cast<double>(std::max<std::size_t>(1, processLimit_ - base_));
+    const auto share = static_cast<double>(resident - std::min(resident, base_)) / room;
+    Decision out{bufferLimit_, resident > 0 && share > kTrimShare && now - trimmedAt_ >= kTrimIntervalNs};
     if (out.trim) trimmedAt_ = now;
     if (share > kHalfShare) out.bufferLimit = bufferLimit_ / 2;
     if (share > kEighthShare) out.bufferLimit = bufferLimit_ / 8;
@@ -31,15 +34,18 @@
   }
 
  private:
-  // Shares of the process's limit from which on memory is given back, half of the buffers and an eighth of
+  // While less than this part of the buffers is held, the process takes what it needs without them.
+  static constexpr std::size_t kQuietDivisor = 20;
+  // Shares of the room above that from which on memory is given back, half of the buffers and an eighth of
   // them may be used.
-  static constexpr double kTrimShare = 0.6;
-  static constexpr double kHalfShare = 0.72;
-  static constexpr double kEighthShare = 0.82;
+  static constexpr double kTrimShare = 0.3;
+  static constexpr double kHalfShare = 0.55;
+  static constexpr double kEighthShare = 0.7;
   static constexpr Nanos kTrimIntervalNs = 500'000'000;
 
   std::size_t processLimit_ = 1;
   std::size_t bufferLimit_ = 0;
+  std::size_t base_ = 0;  // resident size with next to nothing in the buffers
   Nanos trimmedAt_ = -kTrimIntervalNs;
 };
 
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -36,11 +36,14 @@
   memory::ResidentLimit limit;
   limit.setLimits(1000, 200);
   constexpr Nanos kSecond = 1'000'000'000;
-  CHECK(limit.decide(0, 0).bufferLimit == 200 && !limit.decide(590, 0).trim);
-  CHECK(limit.decide(700, 0).trim && !limit.decide(700, 1).trim && limit.decide(700, kSecond).trim);
-  CHECK(limit.decide(700, 0).bufferLimit == 200);
-  CHECK(limit.decide(800, 0).bufferLimit == 100 && limit.decide(950, 0).bufferLimit == 25);
-  CHECK(limit.decide(500, 0).bufferLimit == 200);
+  CHECK(limit.decide(0, 100, 0).bufferLimit == 200);
+  CHECK(limit.decide(400, 5, 0).bufferLimit == 200);  // takes 400 without its buffers
+  CHECK(!limit.decide(570, 100, 0).trim && limit.decide(600, 100, 0).trim);
+  CHECK(!limit.decide(600, 100, 1).trim && limit.decide(600, 100, kSecond).trim);
+  CHECK(limit.decide(700, 100, 0).bufferLimit == 200 && limit.decide(750, 100, 0).bufferLimit == 100);
+  CHECK(limit.decide(850, 100, 0).bufferLimit == 25 && limit.decide(500, 100, 0).bufferLimit == 200);
+  CHECK(limit.decide(900, 5, 0).bufferLimit == 200);  // as large without its buffers: they are not to blame
+  CHECK(limit.decide(960, 100, 0).bufferLimit == 100 && limit.decide(980, 100, 0).bufferLimit == 25);
 }
 
 void finishedIdsAreForgottenInTime() {
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -152,6 +152,24 @@
   CHECK(fixture.server.counters().refusedAhead > 0 && fixture.loop.buffers().peak() < 1024 * 1024);
 }
 
+// While the buffers are full a client with half a request is refused; one that rests gets nothing unasked.
+void fullBuffersSpareIdleClients() {
+  ServerFixture fixture;
+  auto idle = sendRequest(fixture, "GET /a HTTP/1.1\r\nHost: a\r\nX: " + std::string(3000, 'x') + "\r\n\r\n");
+  std::optional<Poco::Net::StreamSocket> half;
+  fixture.loop.after(100 * kMs, [&] {
+    fixture.loop.buffers().setLimit(1);
+    half = sendRequest(fixture,
+                       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n" + std::string(5000, 'x'));
+  });
+  fixture.run(500 * kMs);
+  std::string answer, none, refusal;
+  readSome(idle, answer);
+  CHECK(answer.ends_with("/a") && readSome(idle, none) == 1);
+  readSome(*half, refusal);
+  CHECK(refusal.rfind("HTTP/1.1 503", 0) == 0 && fixture.server.counters().unfinishedShed == 1);
+}
+
 // Partial requests, one of which arrives byte by byte, get a 408 within the request timeout, and a
 // connection without any request is closed. A connection that is idle after a request stays open.
 void slowRequestsTimeOut() {
@@ -278,5 +296,6 @@
   topazweir::test::rejectedUploadDoesNotBlockOthers();
   topazweir::test::slowReaderGetsAll();
   topazweir::test::pipelinedInOrder();
+  topazweir::test::fullBuffersSpareIdleClients();
   topazweir::test::requestsTooFarAheadAreRefusedInOrder();
 }
