HTTP server: behind an open request, what waits for 0.05 s is discarded, not parsed

Cause: requests sent ahead were parsed and refused as long as the input fell below its limit now and then; with a slow parser the socket stayed full, and the close behind it unseen. Change: with an open request the socket has to be found empty within 0.05 s, else its client is read without parsing, gets the answers that are owed, a 503, and the end. ResidentLimit's base is the size within 5 s of the start, and only falls later.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,8 +25,8 @@
 // Unparsed input of one client. Requests sent further ahead are refused: they are read all the same, since
 // the close of their client is behind them.
 constexpr std::size_t kMaxAheadBytes = 128 * 1024;
-// A client that stays that far ahead for longer is not read any more: half of the 0.1 s in which its close
-// must be seen.
+// A client with an open request whose socket has not been empty for longer is not parsed any more, only read:
+// half of the 0.1 s in which its close must be seen.
 constexpr Nanos kMaxAheadNs = 50'000'000;
 constexpr Fault kTooFarAhead{503, "requests were sent too far ahead; asking again is harmless"};
 // Refusals written at once; the rest follows when the client has taken these.
@@ -227,14 +227,11 @@
     if (clients_.find(connection.get()) == clients_.end()) return;
     if (loop_.now() >= sliceEnd && !connection->input().empty()) return scheduleServe(client);
   }
-  if (connection->input().size() < kMaxAheadBytes || connection->drained()) {
-    client.aheadSince = 0;
-  } else if (sliceEnd > 0) {
-    refuseAhead(client, sliceEnd);
-  } else {
-    if (client.aheadSince == 0) client.aheadSince = loop_.now();
-    scheduleServe(client);
-  }
+  if (connection->input().size() < kMaxAheadBytes || connection->drained()) return;
+  // The close of the client is looked for within the time in which nothing may begin for one that has left.
+  if (client.exchange != 0 && loop_.now() - connection->lastDrainedAt() > kMaxAheadNs)
+    return giveUpReading(client, kTooFarAhead);
+  sliceEnd > 0 ? refuseAhead(client, sliceEnd) : scheduleServe(client);
 }
 
 void Server::begin(Client& client) {
@@ -268,8 +265,6 @@
 
 void Server::refuseAhead(Client& client, Nanos sliceEnd) {
   const auto connection = client.connection;
-  if (client.aheadSince > 0 && loop_.now() - client.aheadSince > kMaxAheadNs)
-    return giveUpReading(client, kTooFarAhead);
   auto progress = client.parser.parse(connection->input());
   if (client.refusals == 0 && progress == Parser::Progress::complete)
     log_.line("http.refused_ahead", options_.name + describe(client));
@@ -283,11 +278,7 @@
   client.hasRequested = true;
   client.requestBegun = !connection->input().empty();
   connection->resume();
-  if (connection->input().size() < kMaxAheadBytes) {
-    client.aheadSince = 0;
-  } else {
-    scheduleServe(client);
-  }
+  if (connection->input().size() >= kMaxAheadBytes) scheduleServe(client);
   writeRefusals(client);
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -82,15 +82,14 @@
   struct Client {
     std::shared_ptr<net::Connection> connection;
     Parser parser{MessageKind::request};
-    ExchangeId exchange = 0;      // the open exchange; 0: none
-    bool close = false;           // close after the open exchange
-    bool hasRequested = false;    // at least one request has arrived in full
-    bool requestBegun = false;    // the first byte of the next request has arrived
-    bool serveScheduled = false;  // its requests wait for their turn, see Loop::runInTurn()
-    std::size_t refusals = 0;     // answers owed, in order, to requests sent too far ahead
-    std::optional<Fault> fault;   // behind these: input is discarded, and the connection ends with it
-    Nanos aheadSince = 0;         // since when its input has been at the limit with more unread; 0: it isn't
-    Nanos since = 0;              // when the connection became idle or its next request began
+    ExchangeId exchange = 0;        // the open exchange; 0: none
+    bool close = false;             // close after the open exchange
+    bool hasRequested = false;      // at least one request has arrived in full
+    bool requestBegun = false;      // the first byte of the next request has arrived
+    bool serveScheduled = false;    // its requests wait for their turn, see Loop::runInTurn()
+    std::size_t refusals = 0;       // answers owed, in order, to requests sent too far ahead
+    std::optional<Fault> fault;     // behind these: input is discarded, and the connection ends with it
+    Nanos since = 0;                // when the connection became idle or its next request began
     std::uint64_t lastWritten = 0;  // bytes its client had taken at progressAt
     Nanos progressAt = 0;           // when its client was last seen to take bytes of its answers
     bool idle() const { return exchange == 0 && connection->input().empty() && connection->flushed(); }
--- a/src/memory/resident_limit.hpp
+++ b/src/memory/resident_limit.hpp
@@ -23,7 +23,11 @@
   }
   // `resident`: the bytes that the process takes now; 0: not known. `held`: of these, in buffers.
   Decision decide(std::size_t resident, std::size_t held, Nanos now) {
-    if (held < bufferLimit_ / kQuietDivisor) base_ = std::min(resident, processLimit_);
+    if (startedAt_ < 0) startedAt_ = now;
+    if (held < bufferLimit_ / kQuietDivisor) {
+      const bool settled = now - startedAt_ >= kSettleNs;
+      base_ = std::min({resident, processLimit_, settled ? base_ : resident});
+    }
     const auto room = static_cast<double>(std::max<std::size_t>(1, processLimit_ - base_));
     const auto share = static_cast<double>(resident - std::min(resident, base_)) / room;
     Decision out{bufferLimit_, resident > 0 && share > kTrimShare && now - trimmedAt_ >= kTrimIntervalNs};
@@ -36,6 +40,9 @@
  private:
   // While less than this part of the buffers is held, the process takes what it needs without them.
   static constexpr std::size_t kQuietDivisor = 20;
+  // By this time after the start that size is reached. Later it only falls: what it grows by is what the
+  // allocator has kept of floods.
+  static constexpr Nanos kSettleNs = 5'000'000'000;
   // Shares of the room above that from which on memory is given back, half of the buffers and an eighth of
   // them may be used.
   static constexpr double kTrimShare = 0.3;
@@ -46,6 +53,7 @@
   std::size_t processLimit_ = 1;
   std::size_t bufferLimit_ = 0;
   std::size_t base_ = 0;  // resident size with next to nothing in the buffers
+  Nanos startedAt_ = -1;  // negative: not yet
   Nanos trimmedAt_ = -kTrimIntervalNs;
 };
 
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -44,6 +44,8 @@
   CHECK(limit.decide(850, 100, 0).bufferLimit == 25 && limit.decide(500, 100, 0).bufferLimit == 200);
   CHECK(limit.decide(900, 5, 0).bufferLimit == 200);  // as large without its buffers: they are not to blame
   CHECK(limit.decide(960, 100, 0).bufferLimit == 100 && limit.decide(980, 100, 0).bufferLimit == 25);
+  CHECK(limit.decide(400, 5, 9 * kSecond).bufferLimit == 200);
+  CHECK(limit.decide(850, 5, 9 * kSecond).bufferLimit == 25);  // after the start it is what floods have left
 }
 
 void finishedIdsAreForgottenInTime() {
