gRPC: more than 1 KB of input waits for its turn; a task of the backlog gets 0.5 ms

Cause: the bound of 4 KB was one for each connection; 250 of them decode 1 MB in one iteration of the loop. And one task of the backlog could take the whole slice of an iteration, so that a round took 4 ms for each. Change: input of up to 1 KB, a usual call, is processed when it comes; more waits in turn with all other work that was sent ahead, 0.5 ms at a time.

--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t kHeadBombFactor = 8;
 // CONTINUATION frames after one HEADERS frame.
 constexpr std::size_t kMaxContinuations = 8;
+// Input that is processed when it is received: a usual call. More is processed in turn, since many
+// connections may receive some in one iteration of the loop.
+constexpr std::size_t kImmediateInputBytes = 1024;
 // Input that is passed to the codec at once.
 constexpr std::size_t kInputPieceBytes = 4 * 1024;
 // Input of a client that is kept unprocessed.
@@ -275,7 +278,8 @@
 void Session::onData(net::Connection&) {
   lastInputAt_ = loop_.now();
   pingSent_ = false;
-  if (!inputScheduled_) processInput(0);
+  if (inputScheduled_) return;
+  connection_->input().size() <= kImmediateInputBytes ? processInput(0) : scheduleInput();
 }
 
 // A peer whose close is behind input that waits: it has left, so nothing of that input is begun.
--- a/src/net/backlog.hpp
+++ b/src/net/backlog.hpp
@@ -2,6 +2,7 @@
 // of the loop, so that no peer delays the others however much it sends.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 
@@ -18,6 +19,8 @@
 
   // Time in each iteration of the loop for all tasks together.
   static constexpr Nanos kSliceNs = 4'000'000;
+  // Of that, the time of one task, so that those behind it get their turn soon.
+  static constexpr Nanos kTaskSliceNs = 500'000;
 
   void add(Task task) { tasks_.push_back(std::move(task)); }
   bool empty() const { return tasks_.empty(); }
@@ -27,7 +30,7 @@
     for (auto left = tasks_.size(); left > 0 && now() < sliceEnd; --left) {
       const auto task = std::move(tasks_.front());
       tasks_.pop_front();
-      task(sliceEnd);
+      task(std::min(sliceEnd, now() + kTaskSliceNs));
     }
   }
 
